--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -19,13 +19,14 @@
 BETA = 0.6  # weight of the latest reading: steps are seconds apart, an old reading is soon wrong
 STEP_UP, STEP_DOWN = 1.5, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
 FLOOR = 0.2  # of the average share: enough calls to keep hearing of a task
+RATE = 0.5  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
 FEW = 4.0  # answers: a reading of so few counts half, the average the other half
 FAILED = SECOND  # a failed answer counts as 1 s of latency
 TRAVEL = 15_000  # 1.5 s: reports are taken to be this old on arrival, and older after a gap
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
-ROOM = (0.9, 0.5, 0.05)  # most of the queue limit that may be in use when such a push joins it
+ROOM = (0.9, 0.5, 0.01)  # most of the queue limit that may wait before such a push
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
@@ -68,6 +69,7 @@
         self.mark, self.awaiting, self.applied_at = 0, {}, 0
         self.sums_at, self.late, self.fresh = 0, 0, False
         self.failing, self.probes_failing = 0.01, 0.01
+        self.fleet = 1  # most tasks ever ready at once
 
     def handle(self, now, events):
         orders = []
@@ -95,7 +97,7 @@
 
     def heard_list(self, now, event):
         if event.form == "lost":
-            # Spread and doubled, so that assigners cut off together do not ask together.
+            # Spread and doubled: assigners cut off together must not ask together.
             wait = BACKOFF * 2 ** min(self.watch_fails, 5) * self.uniform(0.7, 1.3)
             self.watch_fails += 1
             self.later(now + int(min(wait, self.terms.must_ask_in / 2)), Brain.watch)
@@ -228,7 +230,7 @@
 
     def step(self, now):
         """The design's step: each share times its smoothed headroom, bounded, then renormalised."""
-        self.fresh = False
+        self.fresh, self.applied_at = False, 0
         tasks = [t for t in self.ready() if not t.out]
         tries = sum(t.tries for t in tasks)
         if not tries:
@@ -237,7 +239,7 @@
             return t.latency + t.failures * FAILED
         usual = sum(spent(t) for t in tasks) / tries
         for t in tasks:
-            latest = (t.tries + FEW) / (spent(t) + FEW * usual)
+            latest = (t.tries + FEW) / (spent(t) + FEW * usual) / t.share**RATE
             t.headroom = BETA * latest + (1 - BETA) * t.headroom if t.headroom else latest
             t.forget()
         total = sum(t.share for t in tasks)
@@ -271,6 +273,7 @@
     def wanted(self, now):
         """The lines that should stand: table -> task -> weight, the average weight being 1."""
         ready = self.ready()
+        self.fleet = max(self.fleet, len(ready))
         if self.terms.slices:
             names = [t.id for t in ready]
             tables = {}
@@ -283,7 +286,7 @@
             # Failing beats none: the least doubtful warm task stays, whatever is held of it.
             tasks += sorted((t for t in ready if t.out and self.warm(now, t)), key=lambda t: t.doubt)[:1]
         full = {t.id: t.share for t in tasks if self.warm(now, t)}
-        ramp = {t.id: self.ramp(now, t) / len(ready) for t in tasks if not self.warm(now, t)}
+        ramp = {t.id: self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
         # A cold task's part of all calls stays under its ramp's part of an even share, however few are warm.
         taken = min(sum(ramp.values()), 0.9) if full else 0
         total = sum(full.values()) / (1 - taken) if full else len(ready)
@@ -293,7 +296,7 @@
 
     def ramp(self, now, task):
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
-        return min(task.share, 1) * 0.7 * (self.terms.start_share + (1 - self.terms.start_share) * grown)
+        return min(task.share, 1) * 0.7 * (1 - self.failing) * (self.terms.start_share + (1 - self.terms.start_share) * grown)
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
@@ -314,6 +317,7 @@
         tries = {} if sliced else {k: self.tries_for(r) for k, r in enumerate(self.terms.routes)}
         joining = [p for p, proxy in self.proxies.items() if not sliced and not proxy.bound]
         bound = [proxy for proxy in self.proxies.values() if sliced or proxy.bound]
+        pushed = not changes
         if changes and self.may_push(now, min(changes)[0], len(changes), bound):
             for _, table, k, weight in changes:
                 orders.append(gp.SetLine(table, k, round(weight, 3) if weight else 0.0))
@@ -323,8 +327,7 @@
                     del self.laid[table][k]
             self.write(now, len(changes), bound)
             self.pushed_at = now
-            if any(c[0] == 2 for c in changes):
-                self.applied_at = 0
+            pushed = True
         if tries != self.tries:
             for how in sorted(set(tries.values())):
                 routes = tuple(k for k in tries if tries[k] == how)
@@ -334,7 +337,11 @@
             orders.append(gp.Bind(p, TABLE))
             self.proxies[p].bound = True
             self.write(now, len(self.laid[TABLE]) + 4, [self.proxies[p]])
-        if self.proxies and not self.applied_at and not self.awaiting and (changes or joining):
+        if self.applied_at or self.awaiting or not pushed:
+            return
+        if not changes and not joining:
+            self.applied_at = now  # nothing moved enough to be sent: the last push still stands
+        elif self.proxies:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
             self.awaiting = {p: proxy.rate for p, proxy in self.proxies.items()}
@@ -344,8 +351,10 @@
 
     def may_push(self, now, urgency, lines, bound):
         room = ROOM[urgency] * self.terms.queue_limit
-        cost = len(bound) * (lines + self.terms.head_lines)
-        if now - self.pushed_at < PACE[urgency] or self.queue + cost > room:
+        cost = len(bound) * (lines + self.terms.head_lines + 1)
+        if now - self.pushed_at < PACE[urgency] or self.queue > room:
+            return False
+        if self.queue + cost > ROOM[0] * self.terms.queue_limit and self.queue:
             return False
         cap = self.terms.message_cap
         for proxy in bound if cap else ():
