--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+import statistics
 from collections import deque
 
 from garnetpaddle import interface as gp
@@ -30,11 +31,13 @@
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
-BAD = 0.5  # share of failures of a bad task; a fifth of its answers may still be good
-OUT_MOST = 0.4  # of all shares: the rest must be able to carry the load
+BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
+OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 HOLD, HOLD_MOST = 30_000, 240_000  # 3 s out at first, doubled for each relapse up to 24 s
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
-RETURN = 60_000  # 6 s: ramp of a task that returns by evidence
+RETURN = 60_000  # 6 s: a task that returned is not yet counted on for so long
+RETURN_SHARE = 0.4  # of the average: what a task returns with; the step raises it
+RECENT = 0.2  # weight of one more line of sums in a task's recent failures
 BACKOFF = 3_000  # 0.3 s: first wait before subscribing again, doubled and spread
 
 
@@ -43,7 +46,8 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.ramp_from, self.ramp_for, self.probing = 0, 0, False
+        self.back_at, self.answers = -RETURN, 0.0
+        self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
 
     def forget(self):
@@ -68,7 +72,7 @@
         self.queue, self.queue_at, self.pushed_at = 0.0, 0, -SECOND
         self.mark, self.awaiting, self.applied_at = 0, {}, 0
         self.sums_at, self.late, self.fresh = 0, 0, False
-        self.failing, self.probes_failing = 0.01, 0.01
+        self.probes_failing = 0.01
         self.fleet = 1  # most tasks ever ready at once
 
     def handle(self, now, events):
@@ -163,10 +167,12 @@
             return
         good = max(event.tries - event.failures, 0)
         slow = good and event.latency > 2 * self.usual_latency()
-        self.failing += 0.02 * (event.failures / event.tries - self.failing)
+        if good:
+            task.answers = event.latency if not task.answers else (task.answers + event.latency) / 2
+        task.failing += RECENT * (event.failures / event.tries - task.failing)
         # Good but slow answers are overload: the step eases it; taking the task out would pass it on.
         if not slow or not good:
-            self.weigh(task, event.failures, good, self.failing)
+            self.weigh(task, event.failures, good, self.usual_failing())
         if self.applied_at and now - self.late - TRAVEL - event.span >= self.applied_at:
             task.tries += event.tries
             task.failures += event.failures
@@ -174,8 +180,11 @@
             self.fresh = True
 
     def usual_latency(self):
-        readings = sorted(1 / t.headroom for t in self.tasks.values() if t.headroom)
-        return readings[len(readings) // 2] if readings else FAILED
+        return statistics.median([t.answers for t in self.ready() if t.answers] or [FAILED])
+
+    def usual_failing(self):
+        """The median: a few bad tasks leave it near zero, an overload does not."""
+        return statistics.median([t.failing for t in self.ready()] or [0.0])
 
     def heard_probe(self, now, event):
         task = self.tasks.get(event.task)
@@ -183,14 +192,14 @@
             return
         ok = event.outcome == "ok"
         task.good_probes = task.good_probes + 1 if ok else 0
-        self.probes_failing += 0.02 * ((not ok) - self.probes_failing)
+        self.probes_failing += 0.05 * ((not ok) - self.probes_failing)
         if not task.out:
             self.weigh(task, int(not ok), int(ok), self.probes_failing)
 
     def weigh(self, task, failures, good, usual):
         """Wald's test: is this task's share of failures BAD, or what is usual for all of them just now?"""
-        usual = min(max(usual, 0.02), BAD / 2)
-        bad = max(BAD, 2 * usual)
+        usual = min(max(usual, 0.02), 0.8)
+        bad = max(BAD, 0.4 * usual + 0.6 * (usual > 0.1))
         task.doubt += failures * math.log(bad / usual) + good * math.log((1 - bad) / (1 - usual))
         task.doubt = min(max(task.doubt, -TRUST), 2 * SURE)
 
@@ -256,17 +265,22 @@
         total = sum(t.share for t in ready)
         for t in ready:
             if t.out and now >= t.hold and (t.good_probes >= 2 or not self.terms.probes_allowed):
-                t.out, t.doubt = False, SURE / 2
-                t.ramp_from, t.ramp_for = now, max(RETURN, t.ramp_from + t.ramp_for - now)
+                t.out, t.doubt, t.back_at = False, SURE / 2, now
+                t.share = min(t.share, RETURN_SHARE)
                 t.forget()
-        gone = sum(t.share for t in ready if t.out)
+        gone = sum(t.share for t in ready if t.out or t.back_at > now - RETURN)
+        most = OUT_MOST * self.calm() * total
         for t in sorted(ready, key=lambda t: -t.doubt):
-            if not t.out and t.doubt >= SURE and gone + t.share <= OUT_MOST * total:
+            if not t.out and t.doubt >= SURE and gone + t.share <= most:
                 gone += t.share
                 t.out, t.good_probes = True, 0
                 t.hold = now + min(HOLD * 2 ** t.holds, HOLD_MOST)
                 t.holds += 1
 
+    def calm(self):
+        """1 while calls fail nowhere but at a few tasks, 0 once most fail a third of theirs: overload."""
+        return max(0.0, 1 - 3 * self.usual_failing())
+
     def warm(self, now, task):
         return now >= task.ramp_from + task.ramp_for
 
@@ -287,6 +301,7 @@
             tasks += sorted((t for t in ready if t.out and self.warm(now, t)), key=lambda t: t.doubt)[:1]
         full = {t.id: t.share for t in tasks if self.warm(now, t)}
         ramp = {t.id: self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
+        ramp = {k: part for k, part in ramp.items() if part > 0 or not full}
         # A cold task's part of all calls stays under its ramp's part of an even share, however few are warm.
         taken = min(sum(ramp.values()), 0.9) if full else 0
         total = sum(full.values()) / (1 - taken) if full else len(ready)
@@ -296,7 +311,9 @@
 
     def ramp(self, now, task):
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
-        return min(task.share, 1) * 0.7 * (1 - self.failing) * (self.terms.start_share + (1 - self.terms.start_share) * grown)
+        start = self.terms.start_share
+        # While calls fail everywhere they come again and proxies avoid tasks: a cold one would be brought more.
+        return min(task.share, 1) * self.calm() * (start + (1 - start) * grown)
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
