--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -37,6 +37,7 @@
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
 RETURN = 60_000  # 6 s: a task that returned is not yet counted on for so long
 RETURN_SHARE = 0.4  # of the average: what a task returns with; the step raises it
+HEARD = 30_000  # 3 s: how long a task's last sums say something of the fleet
 RECENT = 0.2  # weight of one more line of sums in a task's recent failures
 BACKOFF = 3_000  # 0.3 s: first wait before subscribing again, doubled and spread
 
@@ -46,7 +47,7 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.back_at, self.answers = -RETURN, 0.0
+        self.back_at, self.heard_at, self.answers = -RETURN, -SECOND, 0.0
         self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
 
@@ -64,8 +65,7 @@
         self.terms = terms
         self.uniform = random.Random(seed).uniform
         self.tasks, self.lines, self.proxies = {}, {}, {}
-        self.laid = {}  # present state: table -> task -> weight
-        self.slices = {}  # slices in charge, as the store has them
+        self.laid = {}  # present state: table (or slice in charge) -> task -> weight
         self.withdrawn, self.tries = {}, {}
         self.due, self.serial = [], 0
         self.beat_at = self.watch_fails = 0
@@ -166,10 +166,13 @@
         if task is None or event.tries <= 0:
             return
         good = max(event.tries - event.failures, 0)
+        if good and not 0 < event.latency < math.inf:
+            return  # a reading that is missing or makes no sense counts as unheard
         slow = good and event.latency > 2 * self.usual_latency()
         if good:
             task.answers = event.latency if not task.answers else (task.answers + event.latency) / 2
         task.failing += RECENT * (event.failures / event.tries - task.failing)
+        task.heard_at = now
         # Good but slow answers are overload: the step eases it; taking the task out would pass it on.
         if not slow or not good:
             self.weigh(task, event.failures, good, self.usual_failing())
@@ -184,7 +187,8 @@
 
     def usual_failing(self):
         """The median: a few bad tasks leave it near zero, an overload does not."""
-        return statistics.median([t.failing for t in self.ready()] or [0.0])
+        lately = self.sums_at - HEARD
+        return statistics.median([t.failing for t in self.ready() if t.heard_at > lately] or [0.0])
 
     def heard_probe(self, now, event):
         task = self.tasks.get(event.task)
@@ -205,15 +209,12 @@
 
     def heard_slice(self, now, event):
         if event.ours:
-            self.slices[event.slice] = {}
             self.laid[event.slice] = {}
         else:
-            self.slices.pop(event.slice, None)
             self.laid.pop(event.slice, None)
 
     def heard_slice_line(self, now, event):
-        if event.slice in self.slices:
-            self.slices[event.slice][event.task] = event.weight
+        if event.slice in self.laid:
             self.laid[event.slice][event.task] = event.weight
 
     def ignore(self, now, event):
@@ -291,7 +292,7 @@
         if self.terms.slices:
             names = [t.id for t in ready]
             tables = {}
-            for number, held in self.slices.items():
+            for number, held in self.laid.items():
                 kept = {k: w for k, w in held.items() if k in self.lines and self.lines[k].state == "ready"}
                 tables[number] = kept or ({names[number % len(names)]: 1.0} if names else {})
             return tables
@@ -312,7 +313,7 @@
     def ramp(self, now, task):
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
         start = self.terms.start_share
-        # While calls fail everywhere they come again and proxies avoid tasks: a cold one would be brought more.
+        # While most calls fail they come again and proxies avoid tasks: a cold one would be brought more.
         return min(task.share, 1) * self.calm() * (start + (1 - start) * grown)
 
     def emit(self, now, orders):
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,151 @@
+import math
+
+import pytest
+from helper import Play, changes, line
+
+from garnetpaddle import interface as gp
+
+
+def test_step_multiplies_by_headroom_and_sends_what_moved():
+    play = Play()
+    play.sums["a"] = (10, 0, 100)
+    play.sums["b"] = (10, 0, 400)
+    play.run(16)
+    play.matches("step")
+
+
+def test_holds_while_a_push_has_not_taken_effect_or_reports_stay_away():
+    play = Play(applies=False)
+    play.sums["a"] = (10, 0, 400)
+    play.say("no proxy says that it has applied its table: no step")
+    play.run(8)
+    play.hear(*(gp.Applied(p, play.brain.mark, 0) for p in play.brain.proxies))
+    play.say("applied, but the reports now come 6 s late")
+    play.report_at = 160_000
+    play.run(15)
+    play.matches("hold")
+
+
+def test_unheard_or_senseless_readings_count_as_average():
+    play = Play(tasks="abcde")
+    play.sums = {"a": (9, 0, math.nan), "b": (0, 0, 50), "c": (9, 0, -5), "d": (9, 0, 900), "e": (9, 0, 90)}
+    play.run(12)
+    play.matches("unheard")
+
+
+def test_draining_and_gone_tasks_leave_at_once_and_return_cold():
+    play = Play()
+    play.run(1)
+    play.hear(changes(line("a", "draining")))
+    play.hear(changes(line("b", "gone")))
+    play.run(1)
+    play.say("b starts again under its old id")
+    play.hear(changes(line("b", started=2.0)))
+    play.run(12)
+    play.matches("drain")
+
+
+def test_cold_tasks_stay_out_while_calls_fail_everywhere():
+    play = Play()
+    play.sums = {t: (20, 9, 900) for t in "abcd"}
+    play.run(8)
+    play.hear(changes(line("e", started=7.5)))
+    play.say("e starts, most calls fail")
+    play.run(4)
+    play.matches("cold_in_overload")
+
+
+def test_a_bad_task_is_taken_out_and_returns_by_evidence():
+    play = Play()
+    play.run(3)
+    play.say("a fails all its calls")
+    play.sums["a"], play.probes["a"] = (10, 10, 0), "timeout"
+    play.run(5)
+    play.say("a answers again")
+    play.sums["a"], play.probes["a"] = (3, 0, 200), "ok"
+    play.run(4)
+    play.say("a relapses: held out for longer")
+    play.sums["a"], play.probes["a"] = (10, 10, 0), "timeout"
+    play.run(2)
+    play.sums["a"], play.probes["a"] = (0, 0, 0), "ok"
+    play.run(9)
+    play.matches("bad_task")
+
+
+def test_overload_takes_nobody_out():
+    play = Play()
+    play.sums = {t: (20, 14, 900) for t in "abcd"}
+    play.probes = dict.fromkeys("abcd", "timeout")
+    play.run(12)
+    play.matches("overload")
+
+
+def test_the_last_warm_line_stays_though_it_fails():
+    play = Play(tasks="ab")
+    play.run(1)
+    play.hear(changes(line("a", "gone")))
+    play.sums, play.probes = {"b": (10, 10, 0)}, {"b": "timeout"}
+    play.run(6)
+    play.hear(changes(line("c", started=6.0)))
+    play.run(2)
+    play.matches("last_line")
+
+
+def test_joins_are_bound_at_once_also_all_at_one_moment():
+    play = Play(proxies=3)
+    play.run(1)
+    play.hear(*(gp.ProxyLeft(p) for p in range(3)))
+    play.hear(gp.ProxyLeft(9), gp.Applied(1, 1, 0), gp.RouteSums(1, 0, 5, 0, 10_000))
+    play.hear(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(3)))
+    play.run(1)
+    play.matches("joins")
+
+
+def test_message_cap_keeps_room_for_drains():
+    play = Play(message_cap=10)
+    for n in range(12):
+        play.sums["a"] = (10, 0, 100 if n % 2 else 900)
+        play.hear(changes(line(f"t{n}", started=play.now / 10_000)))
+        play.run(0.6)
+    play.hear(changes(line("b", "draining")))
+    play.matches("message_cap")
+
+
+def test_asks_again_for_a_lost_list_with_growing_spread_waits():
+    play = Play(list_mode="ask", must_ask_in=100_000)
+    for _ in range(4):
+        play.hear(gp.ListHeard("lost", ()))
+        play.run(3)
+    play.matches("ask")
+
+
+def test_a_list_that_shrinks_to_nothing_and_sums_of_the_gone():
+    play = Play()
+    play.run(1)
+    play.hear(gp.ListHeard("full", ()))
+    play.hear(gp.TaskSums("a", "z", 9, 9, 0.0, 10_000, {}), gp.ProbeAnswered("zz", 5, "ok", {}))
+    play.run(3)
+    play.hear(gp.ListHeard("full", tuple(line(t) for t in "abc")))
+    play.matches("shrinks")
+
+
+def test_slices_leave_tasks_that_drain_and_are_never_bound():
+    play = Play(slices=2)
+    play.hear(gp.SliceGiven(0, True), gp.SliceLine(0, "a", 1.0), gp.SliceGiven(1, True))
+    play.run(0.2)
+    play.hear(changes(line("a", "draining")))
+    play.hear(gp.SliceGiven(1, False), gp.SliceLine(1, "b", 1.0))
+    play.run(0.2)
+    play.matches("slices")
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_same_events_same_orders(seed):
+    traces = []
+    for _ in range(2):
+        play = Play(list_mode="ask")
+        play.sums["a"] = (9, seed, 300)
+        play.hear(gp.ListHeard("lost", ()))
+        play.run(9)
+        traces.append(play.trace)
+    assert traces[0] == traces[1] and len(traces[0]) > 2
--- /dev/null
+++ b/tests/test_wirehost.py
@@ -0,0 +1,64 @@
+import json
+
+import pytest
+
+from garnetpaddle.wirehost import host
+
+CONF = {
+    "categories": [{"name": "read", "promise": 1.0, "deadline": 3.0, "effect": "free", "novel": 1}],
+    "ceilings": {"probes": False}, "discovery": "push", "whim": [1, 2],
+    "contract": {"cold": 15.0, "stop_sending_within": 3.0, "start_capacity": 0.2},
+    "specifics": {"egress_per_s": 2000.0, "queue_cap": 4000.0, "report_every": 1.0},
+}
+MARK = {"msg": "MARK", "wall": 8.41225}
+BOOT = {"msg": "BOOT", "i": "x/0", "rng_seed": 5, "conf": CONF}
+ROWS = {"msg": "SNAPSHOT_ROWS", "bank": 0, "elements": [{"task": "a", "status": "on", "started_at": None}]}
+LIST = {"msg": "ENDPOINTS", "i": "x/0", "bank": 0, "form": "warm_copy", "gen": 1}
+JOIN = {"msg": "CONNECTED", "i": "x/0", "forwarder": 3, "size": 2.0, "flag": True, "az": "z"}
+FLUSH = {"msg": "FLUSH"}
+
+
+def serve(*messages):
+    written = []
+    lines = [m if isinstance(m, bytes) else json.dumps(m).encode() for m in messages]
+    code = host.serve(lines, written.append, lambda: None)
+    return code, [json.loads(w) for w in written]
+
+
+def test_a_batch_becomes_orders():
+    code, replies = serve(MARK, BOOT, ROWS, LIST, JOIN, FLUSH, MARK, FLUSH)
+    assert code == 0
+    assert {"msg": "BIND", "i": "x/0", "forwarder": 3, "sheet": 1, "lanes": 0} in replies
+    assert {"msg": "SET_LINE", "i": "x/0", "task": "a", "size": 1.0, "sheet": 1} in replies
+    assert [r["msg"] for r in replies[-2:]] == ["ACK", "ACK"]
+
+
+@pytest.mark.parametrize(
+    ("bad", "named"),
+    [
+        (b'{"msg":"CONNECTED","i":"x/0","forw', "line 5: "),
+        (JOIN | {"forwarder": "three"}, "forwarder"),
+        ({"msg": "WHIM", "i": "x/0"}, "msg"),
+        (LIST | {"form": "whim"}, "form"),
+        (LIST | {"bank": 9}, "bank"),
+        ({"msg": "LOST_STREAM", "i": "x/0"}, "forwarder"),
+    ],
+)
+def test_malformed_input_names_line_and_field(bad, named, capsys):
+    code, _ = serve(MARK, BOOT, ROWS, LIST, bad, FLUSH)
+    said = capsys.readouterr().err
+    assert code == 2 and "line 5" in said and named in said
+
+
+def test_an_exception_in_a_brain_becomes_a_bug(monkeypatch):
+    def fail(*_):
+        raise KeyError("lost its head")
+
+    monkeypatch.setattr(host.Brain, "handle", fail)
+    _, replies = serve(MARK, BOOT, FLUSH)
+    assert replies[0]["msg"] == "BUG" and "lost its head" in replies[0]["text"]
+
+
+def test_events_for_a_killed_instance_are_passed_over():
+    code, replies = serve(MARK, BOOT, {"msg": "POWER_OFF", "i": "x/0"}, JOIN, FLUSH)
+    assert (code, replies) == (0, [{"msg": "ACK"}])
