--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -18,7 +18,7 @@
 TABLE = 1  # number of the one shared table
 BEAT = 1_000  # 0.1 s: well under every delay it has to notice
 BETA = 0.6  # weight of the latest reading: steps are seconds apart, an old reading is soon wrong
-STEP_UP, STEP_DOWN = 1.5, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
+STEP_UP, STEP_DOWN = 2.0, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
 FLOOR = 0.2  # of the average share: enough calls to keep hearing of a task
 RATE = 0.5  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
 FEW = 4.0  # answers: a reading of so few counts half, the average the other half
@@ -32,6 +32,10 @@
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
 BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
+FULL = 0.88  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
+LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
+LET_IN_DOWN, LET_IN_UP = 0.5, 1.15  # most that admission moves in a step: a jam must be left quickly
+LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 HOLD, HOLD_MOST = 30_000, 240_000  # 3 s out at first, doubled for each relapse up to 24 s
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
@@ -47,7 +51,7 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.back_at, self.heard_at, self.answers = -RETURN, -SECOND, 0.0
+        self.back_at, self.heard_at, self.answers, self.busy = -RETURN, -SECOND, 0.0, 0.0
         self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
 
@@ -73,6 +77,7 @@
         self.mark, self.awaiting, self.applied_at = 0, {}, 0
         self.sums_at, self.late, self.fresh = 0, 0, False
         self.probes_failing = 0.01
+        self.let_in, self.levels, self.calls_heard = 1.0, {}, {}
         self.fleet = 1  # most tasks ever ready at once
 
     def handle(self, now, events):
@@ -173,6 +178,7 @@
             task.answers = event.latency if not task.answers else (task.answers + event.latency) / 2
         task.failing += RECENT * (event.failures / event.tries - task.failing)
         task.heard_at = now
+        task.busy = event.load.get("busy", task.busy)
         # Good but slow answers are overload: the step eases it; taking the task out would pass it on.
         if not slow or not good:
             self.weigh(task, event.failures, good, self.usual_failing())
@@ -217,13 +223,16 @@
         if event.slice in self.laid:
             self.laid[event.slice][event.task] = event.weight
 
+    def heard_route(self, now, event):
+        self.calls_heard[event.route] = self.calls_heard.get(event.route, 0) + event.calls
+
     def ignore(self, now, event):
         pass
 
     READ = {
         gp.ListHeard: heard_list, gp.ProxyJoined: heard_join, gp.ProxyLeft: heard_leave,
         gp.Applied: heard_applied, gp.TaskSums: heard_sums, gp.ProbeAnswered: heard_probe,
-        gp.SliceGiven: heard_slice, gp.SliceLine: heard_slice_line, gp.TimerDue: ignore, gp.RouteSums: ignore,
+        gp.SliceGiven: heard_slice, gp.SliceLine: heard_slice_line, gp.TimerDue: ignore, gp.RouteSums: heard_route,
     }
 
     # What is decided.
@@ -252,6 +261,7 @@
             latest = (t.tries + FEW) / (spent(t) + FEW * usual) / t.share**RATE
             t.headroom = BETA * latest + (1 - BETA) * t.headroom if t.headroom else latest
             t.forget()
+        self.admit(tasks, usual)
         total = sum(t.share for t in tasks)
         average = sum(t.share * t.headroom for t in tasks) / total
         for t in tasks:
@@ -260,6 +270,27 @@
         for t in tasks:
             t.share = max(t.share * scale, FLOOR)
 
+    def admit(self, tasks, latency):
+        """How much of all work to let in; acts only where the whole fleet is short, and least worth goes first."""
+        if self.terms.level_kind != "fraction":
+            return
+        busy = [t.busy for t in tasks if t.busy]
+        failing = statistics.fmean(t.failing for t in tasks)
+        slo = statistics.fmean(r.slo_time for r in self.terms.routes)
+        pressure = max(
+            statistics.fmean(busy) / FULL if busy else 0.0, latency / (LATE * slo), 1 + 2 * failing if failing > 0.1 else 0
+        )
+        self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
+        cut = 1 - self.let_in
+        work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
+        every = sum(work.values())
+        # The work of a route is not told; its SLO time stands for it.
+        for k in sorted(work, key=lambda k: self.terms.routes[k].importance / self.terms.routes[k].slo_time):
+            part = min(cut * every / work[k], 1 - LEAST)
+            cut -= part * work[k] / every
+            self.levels[k] = round(1 - part, 2)
+        self.calls_heard = {}
+
     def judge(self, now):
         """Takes out what the test holds bad, worst first, and lets back in what has proved itself."""
         ready = self.ready()
@@ -332,7 +363,9 @@
                 elif abs(weight - laid[k]) > MOVED * laid[k]:
                     changes.append((2, table, k, weight))
         sliced = self.terms.slices
-        tries = {} if sliced else {k: self.tries_for(r) for k, r in enumerate(self.terms.routes)}
+        tries = {} if sliced else {
+            k: (self.levels.get(k, 1.0), self.tries_for(r)) for k, r in enumerate(self.terms.routes)
+        }
         joining = [p for p, proxy in self.proxies.items() if not sliced and not proxy.bound]
         bound = [proxy for proxy in self.proxies.values() if sliced or proxy.bound]
         pushed = not changes
@@ -346,11 +379,12 @@
             self.write(now, len(changes), bound)
             self.pushed_at = now
             pushed = True
-        if tries != self.tries:
-            for how in sorted(set(tries.values())):
-                routes = tuple(k for k in tries if tries[k] == how)
-                orders.append(gp.Admit(TABLE, routes, 1.0, how))
+        moved = [k for k in tries if tries[k] != self.tries.get(k)]
+        if moved and (pushed or self.may_push(now, 1, len(moved), bound)):
+            for how in sorted({tries[k] for k in moved}):
+                orders.append(gp.Admit(TABLE, tuple(k for k in moved if tries[k] == how), *how))
             self.tries = tries
+            self.write(now, len(moved), bound)
         for p in joining:
             orders.append(gp.Bind(p, TABLE))
             self.proxies[p].bound = True
