Know the age of sums from their spans; a step waits for enough answers

Spans of a task and zone add up to the time covered, so a report's age is known: steps come sooner. Then noise showed, so a step waits for 12 answers a task.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,9 +21,9 @@
 STEP_UP, STEP_DOWN = 2.0, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
 FLOOR = 0.2  # of the average share: enough calls to keep hearing of a task
 RATE = 0.5  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
-FEW = 4.0  # answers: a reading of so few counts half, the average the other half
+FEW = 5.0  # answers: a reading of so few counts half, the average the other half
+ENOUGH = 12  # answers a task on average before a step: fewer are gathered over more reports
 FAILED = SECOND  # a failed answer counts as 1 s of latency
-TRAVEL = 15_000  # 1.5 s: reports are taken to be this old on arrival, and older after a gap
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
@@ -75,7 +75,7 @@
         self.beat_at = self.watch_fails = 0
         self.queue, self.queue_at, self.pushed_at = 0.0, 0, -SECOND
         self.mark, self.awaiting, self.applied_at = 0, {}, 0
-        self.sums_at, self.late, self.fresh = 0, 0, False
+        self.sums_at, self.since, self.pending, self.covered = 0, 0, [], {}
         self.probes_failing = 0.01
         self.let_in, self.levels, self.calls_heard = 1.0, {}, {}
         self.fleet = 1  # most tasks ever ready at once
@@ -89,8 +89,8 @@
         while self.due and self.due[0][0] <= now:
             _, _, act, subject = heapq.heappop(self.due)
             act(self, now, subject, orders)
-        if self.fresh and now - self.sums_at >= SETTLE:
-            self.step(now)
+        if self.pending and now - self.sums_at >= SETTLE:
+            self.gather(now)
         self.judge(now)
         self.emit(now, orders)
         if self.beat_at <= now:
@@ -141,6 +141,8 @@
         orders.append(gp.Watch())
 
     def heard_join(self, now, event):
+        if not self.proxies:
+            self.since, self.covered, self.pending = now, {}, []
         self.proxies[event.proxy] = Proxy(event)
 
     def heard_leave(self, now, event):
@@ -163,11 +165,12 @@
 
     def heard_sums(self, now, event):
         task = self.tasks.get(event.task)
-        if now - self.sums_at > SETTLE:
-            # A gap means that what comes now is older than usual: late reports, or this assigner stood still.
-            if self.sums_at:
-                self.late = max(0, self.late + now - self.sums_at - self.terms.report_period)
+        if not self.pending:
             self.sums_at = now
+        self.pending.append(event)
+        # A pair's spans add up to the time its sums cover: what that falls short of now is their age.
+        pair = event.task, event.zone
+        self.covered[pair] = self.covered.get(pair, self.since) + event.span
         if task is None or event.tries <= 0:
             return
         good = max(event.tries - event.failures, 0)
@@ -182,11 +185,21 @@
         # Good but slow answers are overload: the step eases it; taking the task out would pass it on.
         if not slow or not good:
             self.weigh(task, event.failures, good, self.usual_failing())
-        if self.applied_at and now - self.late - TRAVEL - event.span >= self.applied_at:
-            task.tries += event.tries
-            task.failures += event.failures
-            task.latency += good * event.latency
-            self.fresh = True
+
+    def gather(self, now):
+        """Keeps of the last sums what was wholly counted after the last push took effect, and steps on it."""
+        until = min(max(self.covered.values()), now)
+        for event in self.pending:
+            task, good = self.tasks.get(event.task), max(event.tries - event.failures, 0)
+            if task and self.applied_at and until - event.span >= self.applied_at:
+                if good and not 0 < event.latency < math.inf:
+                    continue  # a reading that is missing or makes no sense counts as unheard
+                task.tries += event.tries
+                task.failures += event.failures
+                task.latency += good * event.latency
+        self.pending = []
+        if sum(t.tries for t in self.tasks.values()) >= ENOUGH * len(self.tasks):
+            self.step(now)
 
     def usual_latency(self):
         return statistics.median([t.answers for t in self.ready() if t.answers] or [FAILED])
@@ -249,7 +262,7 @@
 
     def step(self, now):
         """The design's step: each share times its smoothed headroom, bounded, then renormalised."""
-        self.fresh, self.applied_at = False, 0
+        self.applied_at = 0
         tasks = [t for t in self.ready() if not t.out]
         tries = sum(t.tries for t in tasks)
         if not tries:
