--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -39,8 +39,7 @@
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 HOLD, HOLD_MOST = 30_000, 240_000  # 3 s out at first, doubled for each relapse up to 24 s
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
-RETURN = 60_000  # 6 s: a task that returned is not yet counted on for so long
-RETURN_SHARE = 0.4  # of the average: what a task returns with; the step raises it
+TRIAL = 0.4  # of the average: most that a task carries from its return until the test clears it
 HEARD = 30_000  # 3 s: how long a task's last sums say something of the fleet
 RECENT = 0.2  # weight of one more line of sums in a task's recent failures
 BACKOFF = 3_000  # 0.3 s: first wait before subscribing again, doubled and spread
@@ -51,7 +50,7 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.back_at, self.heard_at, self.answers, self.busy = -RETURN, -SECOND, 0.0, 0.0
+        self.trial, self.heard_at, self.answers, self.busy = False, -SECOND, 0.0, 0.0
         self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
 
@@ -290,9 +289,8 @@
         busy = [t.busy for t in tasks if t.busy]
         failing = statistics.fmean(t.failing for t in tasks)
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
-        pressure = max(
-            statistics.fmean(busy) / FULL if busy else 0.0, latency / (LATE * slo), 1 + 2 * failing if failing > 0.1 else 0
-        )
+        waits = max(latency / (LATE * slo), 1 + 2 * failing if failing > 0.1 else 0.0)
+        pressure = max(statistics.fmean(busy) / FULL if busy else 0.0, waits)
         self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
         cut = 1 - self.let_in
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
@@ -309,11 +307,11 @@
         ready = self.ready()
         total = sum(t.share for t in ready)
         for t in ready:
+            t.trial = t.trial and t.doubt > 0
             if t.out and now >= t.hold and (t.good_probes >= 2 or not self.terms.probes_allowed):
-                t.out, t.doubt, t.back_at = False, SURE / 2, now
-                t.share = min(t.share, RETURN_SHARE)
+                t.out, t.doubt, t.trial = False, SURE / 2, True
                 t.forget()
-        gone = sum(t.share for t in ready if t.out or t.back_at > now - RETURN)
+        gone = sum(t.share for t in ready if t.out or t.trial)
         most = OUT_MOST * self.calm() * total
         for t in sorted(ready, key=lambda t: -t.doubt):
             if not t.out and t.doubt >= SURE and gone + t.share <= most:
@@ -344,7 +342,7 @@
         if not any(self.warm(now, t) for t in tasks):
             # Failing beats none: the least doubtful warm task stays, whatever is held of it.
             tasks += sorted((t for t in ready if t.out and self.warm(now, t)), key=lambda t: t.doubt)[:1]
-        full = {t.id: t.share for t in tasks if self.warm(now, t)}
+        full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if self.warm(now, t)}
         ramp = {t.id: self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
         ramp = {k: part for k, part in ramp.items() if part > 0 or not full}
         # A cold task's part of all calls stays under its ramp's part of an even share, however few are warm.
