Slow answers are overload: neither sums nor probes then speak against a task

Also covers a task slowed by a neighbour; may keep a task that fails many calls slowly in for longer: the step cuts its share.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -41,7 +41,7 @@
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
 TRIAL = 0.4  # of the average: most that a task carries from its return until the test clears it
 HEARD = 30_000  # 3 s: how long a task's last sums say something of the fleet
-RECENT = 0.2  # weight of one more line of sums in a task's recent failures
+RECENT = 0.4  # weight of one more report in a task's recent failures
 BACKOFF = 3_000  # 0.3 s: first wait before subscribing again, doubled and spread
 
 
@@ -50,7 +50,7 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.trial, self.heard_at, self.answers, self.busy = False, -SECOND, 0.0, 0.0
+        self.trial, self.heard_at, self.answers, self.busy, self.slow = False, -SECOND, 0.0, 0.0, False
         self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
 
@@ -163,43 +163,49 @@
         return sum(p.rate for p in self.proxies.values())
 
     def heard_sums(self, now, event):
-        task = self.tasks.get(event.task)
         if not self.pending:
             self.sums_at = now
         self.pending.append(event)
         # A pair's spans add up to the time its sums cover: what that falls short of now is their age.
         pair = event.task, event.zone
         self.covered[pair] = self.covered.get(pair, self.since) + event.span
-        if task is None or event.tries <= 0:
-            return
-        good = max(event.tries - event.failures, 0)
-        if good and not 0 < event.latency < math.inf:
-            return  # a reading that is missing or makes no sense counts as unheard
-        slow = good and event.latency > 2 * self.usual_latency()
-        if good:
-            task.answers = event.latency if not task.answers else (task.answers + event.latency) / 2
-        task.failing += RECENT * (event.failures / event.tries - task.failing)
-        task.heard_at = now
-        task.busy = event.load.get("busy", task.busy)
-        # Good but slow answers are overload: the step eases it; taking the task out would pass it on.
-        if not slow or not good:
-            self.weigh(task, event.failures, good, self.usual_failing())
 
     def gather(self, now):
         """Keeps of the last sums what was wholly counted after the last push took effect, and steps on it."""
         until = min(max(self.covered.values()), now)
+        heard = {}
         for event in self.pending:
             task, good = self.tasks.get(event.task), max(event.tries - event.failures, 0)
-            if task and self.applied_at and until - event.span >= self.applied_at:
-                if good and not 0 < event.latency < math.inf:
-                    continue  # a reading that is missing or makes no sense counts as unheard
+            if not task or (good and not 0 < event.latency < math.inf):
+                continue  # a reading that is missing or makes no sense counts as unheard
+            sums = heard.setdefault(event.task, [0, 0, 0.0])
+            for k, more in enumerate((event.tries, event.failures, good * event.latency)):
+                sums[k] += more
+            task.busy = event.load.get("busy", task.busy)
+            if self.applied_at and until - event.span >= self.applied_at:
                 task.tries += event.tries
                 task.failures += event.failures
                 task.latency += good * event.latency
+        for name, (tries, failures, latency) in heard.items():
+            if tries > 0:
+                self.learn(now, self.tasks[name], tries, failures, latency)
         self.pending = []
         if sum(t.tries for t in self.tasks.values()) >= ENOUGH * len(self.tasks):
             self.step(now)
 
+    def learn(self, now, task, tries, failures, latency):
+        """What one report says of a task's health."""
+        good, usual = tries - failures, self.usual_latency()
+        task.failing += RECENT * (failures / tries - task.failing)
+        task.heard_at = now
+        # Good but slow answers are overload, which the step eases: out, the task would pass its calls on to
+        # others, and they would jam in turn. The same holds for probes that wait behind its calls.
+        task.slow = good > 0 and latency / good > 2 * usual
+        if good:
+            task.answers = (task.answers or latency / good) / 2 + latency / good / 2
+        if not task.slow:
+            self.weigh(task, failures, good, self.usual_failing())
+
     def usual_latency(self):
         return statistics.median([t.answers for t in self.ready() if t.answers] or [FAILED])
 
@@ -215,7 +221,7 @@
         ok = event.outcome == "ok"
         task.good_probes = task.good_probes + 1 if ok else 0
         self.probes_failing += 0.05 * ((not ok) - self.probes_failing)
-        if not task.out:
+        if not task.out and not (task.slow and event.outcome != "error"):
             self.weigh(task, int(not ok), int(ok), self.probes_failing)
 
     def weigh(self, task, failures, good, usual):
@@ -244,7 +250,8 @@
     READ = {
         gp.ListHeard: heard_list, gp.ProxyJoined: heard_join, gp.ProxyLeft: heard_leave,
         gp.Applied: heard_applied, gp.TaskSums: heard_sums, gp.ProbeAnswered: heard_probe,
-        gp.SliceGiven: heard_slice, gp.SliceLine: heard_slice_line, gp.TimerDue: ignore, gp.RouteSums: heard_route,
+        gp.SliceGiven: heard_slice, gp.SliceLine: heard_slice_line, gp.RouteSums: heard_route,
+        gp.TimerDue: ignore,
     }
 
     # What is decided.
@@ -283,7 +290,7 @@
             t.share = max(t.share * scale, FLOOR)
 
     def admit(self, tasks, latency):
-        """How much of all work to let in; acts only where the whole fleet is short, and least worth goes first."""
+        """How much work to let in; acts only where the whole fleet is short, and least worth goes first."""
         if self.terms.level_kind != "fraction":
             return
         busy = [t.busy for t in tasks if t.busy]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -80,6 +80,26 @@
     play.matches("overload")
 
 
+def test_a_task_that_answers_slowly_is_eased_not_taken_out():
+    play = Play()
+    play.run(3)
+    play.sums["a"], play.probes["a"] = (20, 12, 900), "timeout"
+    play.run(8)
+    play.matches("jammed_task")
+
+
+def test_admission_lets_in_less_of_the_least_important_route_and_only_while_short():
+    play = Play(level_kind="fraction")
+    play.run(3)
+    play.say("every task answers late")
+    play.sums = {t: (20, 5, 1500) for t in "abcd"}
+    play.run(6)
+    play.say("and well again")
+    play.sums = {t: (20, 0, 200) for t in "abcd"}
+    play.run(12)
+    play.matches("admission")
+
+
 def test_the_last_warm_line_stays_though_it_fails():
     play = Play(tasks="ab")
     play.run(1)
