--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -25,6 +25,7 @@
 ENOUGH = 12  # answers a task on average before a step: fewer are gathered over more reports
 FAILED = SECOND  # a failed answer counts as 1 s of latency
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
+COLD_WAIT = 25_000  # 2.5 s: a task just started can do little, and a burst then would spend its budget
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
 ROOM = (0.9, 0.5, 0.01)  # most of the queue limit that may wait before such a push
@@ -34,13 +35,14 @@
 BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
 FULL = 0.88  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
-LET_IN_DOWN, LET_IN_UP = 0.5, 1.15  # most that admission moves in a step: a jam must be left quickly
+LET_IN_DOWN, LET_IN_UP = 0.5, 1.5  # most that admission moves in a step: a jam must be left quickly
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 HOLD, HOLD_MOST = 30_000, 240_000  # 3 s out at first, doubled for each relapse up to 24 s
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
 TRIAL = 0.4  # of the average: most that a task carries from its return until the test clears it
 HEARD = 30_000  # 3 s: how long a task's last sums say something of the fleet
+MANY = 0.25  # of the tasks: more than one trouble strikes, so failing together is overload
 RECENT = 0.4  # weight of one more report in a task's recent failures
 BACKOFF = 3_000  # 0.3 s: first wait before subscribing again, doubled and spread
 
@@ -50,7 +52,7 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.trial, self.heard_at, self.answers, self.busy, self.slow = False, -SECOND, 0.0, 0.0, False
+        self.trial, self.heard_at, self.answers, self.busy, self.slow, self.probe_failed = False, -SECOND, 0.0, 0.0, False, False
         self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
 
@@ -220,6 +222,7 @@
             return
         ok = event.outcome == "ok"
         task.good_probes = task.good_probes + 1 if ok else 0
+        task.probe_failed = not ok
         self.probes_failing += 0.05 * ((not ok) - self.probes_failing)
         if not task.out and not (task.slow and event.outcome != "error"):
             self.weigh(task, int(not ok), int(ok), self.probes_failing)
@@ -328,8 +331,12 @@
                 t.holds += 1
 
     def calm(self):
-        """1 while calls fail nowhere but at a few tasks, 0 once most fail a third of theirs: overload."""
-        return max(0.0, 1 - 3 * self.usual_failing())
+        """1 while calls fail at a few tasks only, 0 once most fail a third of theirs: overload.
+
+        Sums tell it late; probes that wait behind calls tell it sooner, where many tasks fail them."""
+        probed = [t.probe_failed for t in self.ready() if not t.out]
+        waiting = statistics.fmean(probed) if probed else 0.0
+        return max(0.0, 1 - 3 * max(self.usual_failing(), waiting - MANY))
 
     def warm(self, now, task):
         return now >= task.ramp_from + task.ramp_for
@@ -360,6 +367,8 @@
         return {TABLE: {k: w * scale for k, w in lines.items()}}
 
     def ramp(self, now, task):
+        if now < task.ramp_from + COLD_WAIT:
+            return 0.0
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
         start = self.terms.start_share
         # While most calls fail they come again and proxies avoid tasks: a cold one would be brought more.
