--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -25,6 +25,8 @@
 ENOUGH = 12  # answers a task on average before a step: fewer are gathered over more reports
 FAILED = SECOND  # a failed answer counts as 1 s of latency
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
+COLD_ALONE = 0.3  # of the fleet's work: with no warm task, cold ones that can do less would fall over
+LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
 COLD_WAIT = 25_000  # 2.5 s: a task just started can do little, and a burst then would spend its budget
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
@@ -296,11 +298,10 @@
         """How much work to let in; acts only where the whole fleet is short, and least worth goes first."""
         if self.terms.level_kind != "fraction":
             return
-        busy = [t.busy for t in tasks if t.busy]
         failing = statistics.fmean(t.failing for t in tasks)
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
         waits = max(latency / (LATE * slo), 1 + 2 * failing if failing > 0.1 else 0.0)
-        pressure = max(statistics.fmean(busy) / FULL if busy else 0.0, waits)
+        pressure = max(self.busy() / FULL, waits)
         self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
         cut = 1 - self.let_in
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
@@ -336,7 +337,12 @@
         Sums tell it late; probes that wait behind calls tell it sooner, where many tasks fail them."""
         probed = [t.probe_failed for t in self.ready() if not t.out]
         waiting = statistics.fmean(probed) if probed else 0.0
-        return max(0.0, 1 - 3 * max(self.usual_failing(), waiting - MANY))
+        short = max(3 * self.usual_failing(), 3 * (waiting - MANY), (self.busy() - FULL) / (1 - FULL))
+        return min(max(0.0, 1 - short), 1.0)
+
+    def busy(self):
+        busy = [t.busy for t in self.ready() if t.busy and not t.out]
+        return statistics.fmean(busy) if busy else 0.0
 
     def warm(self, now, task):
         return now >= task.ramp_from + task.ramp_for
@@ -357,22 +363,24 @@
             # Failing beats none: the least doubtful warm task stays, whatever is held of it.
             tasks += sorted((t for t in ready if t.out and self.warm(now, t)), key=lambda t: t.doubt)[:1]
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if self.warm(now, t)}
-        ramp = {t.id: self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
-        ramp = {k: part for k, part in ramp.items() if part > 0 or not full}
-        # A cold task's part of all calls stays under its ramp's part of an even share, however few are warm.
-        taken = min(sum(ramp.values()), 0.9) if full else 0
-        total = sum(full.values()) / (1 - taken) if full else len(ready)
+        # A cold task's part of all calls stays under its ramp's part of an even share, few as the warm may be.
+        # While most calls fail they come again and proxies avoid tasks: it would be brought more, so it waits.
+        calm = self.calm() if full else 1.0
+        ramp = {t.id: calm * self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
+        taken = sum(ramp.values())
+        if not full and taken < COLD_ALONE:
+            ramp = {}
+        total = sum(full.values()) / (1 - min(taken, 0.9)) if full else 1.0
         lines = full | {k: part * total for k, part in ramp.items()}
         scale = len(lines) / sum(lines.values()) if lines else 1
-        return {TABLE: {k: w * scale for k, w in lines.items()}}
+        return {TABLE: {k: w * scale for k, w in lines.items() if w * scale >= LEAST_WEIGHT}}
 
     def ramp(self, now, task):
         if now < task.ramp_from + COLD_WAIT:
             return 0.0
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
         start = self.terms.start_share
-        # While most calls fail they come again and proxies avoid tasks: a cold one would be brought more.
-        return min(task.share, 1) * self.calm() * (start + (1 - start) * grown)
+        return min(task.share, 1) * (start + (1 - start) * grown)
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
