--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -35,7 +35,7 @@
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
 BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
-FULL = 0.88  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
+FULL = 0.8  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 2.0  # most that admission moves at once: a jam must be left quickly
 JAMMED = 1.3  # pressure at least while answers come late: what waits has to be worked off too
@@ -79,7 +79,7 @@
         self.due, self.serial = [], 0
         self.beat_at = self.watch_fails = 0
         self.queue, self.queue_at, self.pushed_at = 0.0, 0, -SECOND
-        self.mark, self.awaiting, self.applied_at = 0, {}, 0
+        self.mark, self.awaiting, self.applied_at, self.levels_at = 0, {}, 0, 0
         self.sums_at, self.since, self.pending, self.covered = 0, 0, [], {}
         self.probes_failing = 0.01
         self.let_in, self.could, self.levels, self.calls_heard = 1.0, 0.0, {}, {}
@@ -164,6 +164,7 @@
         """A push has taken effect once all but a tenth of the calls go by it."""
         if not self.applied_at and sum(self.awaiting.values()) <= 0.1 * self.calls():
             self.applied_at = now
+            self.levels_at = self.levels_at or now
 
     def calls(self):
         return sum(p.rate for p in self.proxies.values())
@@ -192,6 +193,7 @@
                 task.tries += event.tries
                 task.failures += event.failures
                 task.latency += good * event.latency
+            if self.levels_at and until - event.span >= self.levels_at:
                 since = [since[0] + event.tries, since[1] + event.failures, since[2] + good * event.latency,
                          max(since[3], event.span)]
         if since[0]:
@@ -429,7 +431,7 @@
         if moved and (pushed or self.may_push(now, 1, len(moved), bound)):
             for how in sorted({tries[k] for k in moved}):
                 orders.append(gp.Admit(TABLE, tuple(k for k in moved if tries[k] == how), *how))
-            self.tries, self.applied_at, self.awaiting = tries, 0, {}
+            self.tries, self.applied_at, self.levels_at, self.awaiting = tries, 0, 0, {}
             self.write(now, len(moved), bound)
         for p in joining:
             orders.append(gp.Bind(p, TABLE))
