--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -25,6 +25,7 @@
 ENOUGH = 12  # answers a task on average before a step: fewer are gathered over more reports
 FAILED = SECOND  # a failed answer counts as 1 s of latency
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
+COLD_PART = 0.5  # of what a cold task bears: the rest is for tries again, bursts and weak machines
 COLD_ALONE = 0.3  # of the fleet's work: with no warm task, cold ones that can do less would fall over
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
 COLD_WAIT = 25_000  # 2.5 s: a task just started can do little, and a burst then would spend its budget
@@ -36,6 +37,7 @@
 TRUST = 2.0  # most evidence a good past may save up against new failures
 BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
 FULL = 0.8  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
+TIGHT = 0.88  # share of busy cores from which a fleet has no calm to spare for cold tasks and outs
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 2.0  # most that admission moves at once: a jam must be left quickly
 JAMMED = 1.3  # pressure at least while answers come late: what waits has to be worked off too
@@ -349,7 +351,7 @@
         Sums tell it late; probes that wait behind calls tell it sooner, where many tasks fail them."""
         probed = [t.probe_failed for t in self.ready() if not t.out]
         waiting = statistics.fmean(probed) if probed else 0.0
-        short = max(3 * self.usual_failing(), 3 * (waiting - MANY), (self.busy() - FULL) / (1 - FULL))
+        short = max(3 * self.usual_failing(), 3 * (waiting - MANY), (self.busy() - TIGHT) / (1 - TIGHT))
         return min(max(0.0, 1 - short), 1.0)
 
     def busy(self):
@@ -377,7 +379,7 @@
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if self.warm(now, t)}
         # A cold task's part of all calls stays under its ramp's part of an even share, few as the warm are.
         # While most calls fail they come again and proxies avoid tasks: it would get more, so it waits.
-        calm = self.calm() if full else 1.0
+        calm = self.calm() ** 2 if full else 1.0
         ramp = {t.id: calm * self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
         taken = sum(ramp.values())
         if not full and taken < COLD_ALONE:
@@ -393,7 +395,7 @@
             return 0.0
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
         start = self.terms.start_share
-        return min(task.share, 1) * (start + (1 - start) * grown)
+        return min(task.share, COLD_PART * self.terms.fall_multiple * (start + (1 - start) * grown))
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
--- a/garnetpaddle/interface/terms.py
+++ b/garnetpaddle/interface/terms.py
@@ -25,6 +25,7 @@
     probes_allowed: bool
     warm_after: int
     start_share: float
+    fall_multiple: float
     drain_grace: int
     gone_binds: bool
     report_period: int
--- a/garnetpaddle/wirehost/translate.py
+++ b/garnetpaddle/wirehost/translate.py
@@ -55,6 +55,7 @@
         probes_allowed=conf.ceilings.probes,
         warm_after=tenths(rules.cold),
         start_share=rules.start_capacity,
+        fall_multiple=rules.fall_multiple,
         drain_grace=tenths(rules.stop_sending_within),
         gone_binds=not rules.dropped_stay_open,
         report_period=tenths(it.report_every),
--- a/garnetpaddle/wirehost/wire.py
+++ b/garnetpaddle/wirehost/wire.py
@@ -52,6 +52,7 @@
 class Contract(msgspec.Struct):
     stop_sending_within: float
     start_capacity: float
+    fall_multiple: float
     cold: float
     must_ask_in: float = 10.0
     dropped_stay_open: bool = False
