A kept reading is carried to the share that now stands

Incident on dakar (three large tasks brought half of all calls, others idle, in turn): the smoothed headroom kept from before a step pushed the share on once more, so it overshot and swung. It is now divided by what the share was multiplied by. Told apart from a bad task: the tasks answer fast again as soon as their share falls.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -297,7 +297,10 @@
         total = sum(t.share for t in tasks)
         average = sum(t.share * t.headroom for t in tasks) / total
         for t in tasks:
-            t.share *= min(max(t.headroom / average, 1 / STEP_DOWN), STEP_UP)
+            moved = min(max(t.headroom / average, 1 / STEP_DOWN), STEP_UP)
+            t.share *= moved
+            # The reading was of the old share: kept as it was, it would move the new one once more.
+            t.headroom /= moved
         scale = len(tasks) / sum(t.share for t in tasks)
         for t in tasks:
             t.share = max(t.share * scale, FLOOR)
