--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -17,7 +17,7 @@
 SECOND = 10_000  # tenths of a ms
 TABLE = 1  # number of the one shared table
 BEAT = 1_000  # 0.1 s: well under every delay it has to notice
-BETA = 0.6  # weight of the latest reading: steps are seconds apart, an old reading is soon wrong
+BETA = 0.4  # weight of the latest reading: steps are seconds apart, and one reading is noisy
 STEP_UP, STEP_DOWN = 2.0, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
 FLOOR = 0.2  # of the average share: enough calls to keep hearing of a task
 RATE = 0.5  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
