--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -77,7 +77,7 @@
         self.uniform = random.Random(seed).uniform
         self.tasks, self.lines, self.proxies = {}, {}, {}
         self.laid = {}  # present state: table (or slice in charge) -> task -> weight
-        self.withdrawn, self.tries = {}, {}
+        self.admitted, self.notes = {}, []  # present state of the levels; lines for the log
         self.due, self.serial = [], 0
         self.beat_at = self.watch_fails = 0
         self.queue, self.queue_at, self.pushed_at = 0.0, 0, -SECOND
@@ -100,6 +100,8 @@
             self.gather(now)
         self.judge(now)
         self.emit(now, orders)
+        orders += [gp.Note(text) for text in self.notes]
+        self.notes = []
         if self.beat_at <= now:
             self.beat_at = now + BEAT
             orders.append(gp.Timer(self.beat_at, "beat"))
@@ -184,25 +186,21 @@
         until = min(max(self.covered.values()), now)
         heard, since = {}, [0, 0, 0.0, 1]
         for event in self.pending:
-            task, good = self.tasks.get(event.task), max(event.tries - event.failures, 0)
-            if not task or (good and not 0 < event.latency < math.inf):
+            task, good = self.tasks.get(event.task), event.tries - event.failures
+            if not task or event.tries <= 0 or good < 0 or (good and not 0 < event.latency < math.inf):
                 continue  # a reading that is missing or makes no sense counts as unheard
-            sums = heard.setdefault(event.task, [0, 0, 0.0])
-            for k, more in enumerate((event.tries, event.failures, good * event.latency)):
-                sums[k] += more
-            task.busy = event.load.get("busy", task.busy)
+            sums = event.tries, event.failures, good * event.latency
+            heard[event.task] = [a + b for a, b in zip(heard.get(event.task, (0, 0, 0.0)), sums, strict=True)]
+            task.busy = max(event.load.get("busy", task.busy), 0.0)
             if self.applied_at and until - event.span >= self.applied_at:
-                task.tries += event.tries
-                task.failures += event.failures
+                task.tries, task.failures = task.tries + event.tries, task.failures + event.failures
                 task.latency += good * event.latency
             if self.levels_at and until - event.span >= self.levels_at:
-                since = [since[0] + event.tries, since[1] + event.failures, since[2] + good * event.latency,
-                         max(since[3], event.span)]
+                since = [*(a + b for a, b in zip(since, sums, strict=False)), max(since[3], event.span)]
         if since[0]:
             self.admit(*since)
-        for name, (tries, failures, latency) in heard.items():
-            if tries > 0:
-                self.learn(now, self.tasks[name], tries, failures, latency)
+        for name, sums in heard.items():
+            self.learn(now, self.tasks[name], *sums)
         self.pending = []
         tasks = [t for t in self.ready() if not t.out]
         if tasks and sum(t.tries for t in tasks) >= ENOUGH * len(tasks):
@@ -339,6 +337,7 @@
             if t.out and now >= t.hold and (t.good_probes >= 2 or not self.terms.probes_allowed):
                 t.out, t.doubt, t.trial = False, SURE / 2, True
                 t.forget()
+                self.notes.append(f"{t.id} is let back on trial")
         gone = sum(t.share for t in ready if t.out or t.trial)
         most = OUT_MOST * self.calm() * total
         for t in sorted(ready, key=lambda t: -t.doubt):
@@ -347,6 +346,7 @@
                 t.out, t.good_probes = True, 0
                 t.hold = now + min(HOLD * 2 ** t.holds, HOLD_MOST)
                 t.holds += 1
+                self.notes.append(f"{t.id} is taken out: it fails calls that others answer")
 
     def calm(self):
         """1 while calls fail at a few tasks only, 0 once most fail a third of theirs: overload.
@@ -408,7 +408,8 @@
         for table, lines in self.wanted(now).items():
             laid = self.laid.setdefault(table, {})
             for k in laid:
-                if k not in lines and (lines or self.terms.gone_binds):
+                # A list that shrank to nothing: where being dropped does not bind, the last table stands.
+                if k not in lines and (lines or self.terms.gone_binds or self.lines[k].state == "draining"):
                     changes.append((int(self.lines[k].state == "ready"), table, k, 0.0))
             for k, weight in lines.items():
                 if k not in laid:
@@ -416,9 +417,7 @@
                 elif abs(weight - laid[k]) > MOVED * laid[k]:
                     changes.append((2, table, k, weight))
         sliced = self.terms.slices
-        tries = {} if sliced else {
-            k: (self.levels.get(k, 1.0), self.tries_for(r)) for k, r in enumerate(self.terms.routes)
-        }
+        levels = {} if sliced else {k: self.levels.get(k, 1.0) for k in range(len(self.terms.routes))}
         joining = [p for p, proxy in self.proxies.items() if not sliced and not proxy.bound]
         bound = [proxy for proxy in self.proxies.values() if sliced or proxy.bound]
         pushed = not changes
@@ -432,11 +431,15 @@
             self.write(now, len(changes), bound)
             self.pushed_at = now
             pushed = True
-        moved = [k for k in tries if tries[k] != self.tries.get(k)]
+        moved = [k for k in levels if levels[k] != self.admitted.get(k)]
         if moved and (pushed or self.may_push(now, 1, len(moved), bound)):
-            for how in sorted({tries[k] for k in moved}):
-                orders.append(gp.Admit(TABLE, tuple(k for k in moved if tries[k] == how), *how))
-            self.tries, self.applied_at, self.levels_at, self.awaiting = tries, 0, 0, {}
+            for level in sorted({levels[k] for k in moved}):
+                routes = tuple(k for k in moved if levels[k] == level)
+                # Further tries on proof only, whatever a call's effect: nothing twice, no fuel to an overload.
+                orders.append(gp.Admit(TABLE, routes, level, "on proof"))
+                if self.admitted:
+                    self.notes.append(f"routes {routes} are let in at {level:.0%}")
+            self.admitted, self.applied_at, self.levels_at, self.awaiting = levels, 0, 0, {}
             self.write(now, len(moved), bound)
         for p in joining:
             orders.append(gp.Bind(p, TABLE))
@@ -449,10 +452,8 @@
         elif self.proxies:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
-            self.awaiting = {p: proxy.rate for p, proxy in self.proxies.items()}
-
-    def tries_for(self, route):
-        return "on proof"
+            reached = self.proxies if changes or moved else joining
+            self.awaiting = {p: self.proxies[p].rate for p in reached}
 
     def may_push(self, now, urgency, lines, bound):
         room = ROOM[urgency] * self.terms.queue_limit
--- a/garnetpaddle/interface/terms.py
+++ b/garnetpaddle/interface/terms.py
@@ -9,24 +9,17 @@
 
     importance: float
     slo_time: int
-    time_limit: int
-    effect: str  # "repeatable", "keyed" or "mutating"
-    keyed_group: str  # "all", "zone" or "cell": which tasks drop a repeat of a keyed call
-    keyed_window: int
 
 
 @dataclass(frozen=True, slots=True)
 class Terms:
     routes: tuple[Route, ...]
-    rank: int
-    assigners: int
     list_mode: str  # "push" or "ask"
     must_ask_in: int
     probes_allowed: bool
     warm_after: int
     start_share: float
     fall_multiple: float
-    drain_grace: int
     gone_binds: bool
     report_period: int
     channel_lines: float  # lines a second
--- a/garnetpaddle/wirehost/translate.py
+++ b/garnetpaddle/wirehost/translate.py
@@ -5,7 +5,6 @@
 from garnetpaddle import interface as gp
 from garnetpaddle.wirehost import wire
 
-EFFECTS = {"free": "repeatable", "guarded": "keyed", "single_shot": "mutating"}
 STATES = {"on": "ready", "fading": "draining", "off": "gone"}
 FORMS = {"incr": "changes", "total": "full", "warm_copy": "stale", "lost": "lost"}
 OUTCOMES = {
@@ -41,22 +40,13 @@
 def terms(conf):
     it, rules = conf.specifics, conf.contract
     return gp.Terms(
-        routes=tuple(
-            gp.Route(
-                c.gain, tenths(c.promise), tenths(c.deadline), word(EFFECTS, c.effect, "categories.effect"),
-                c.group, tenths(c.window),
-            )
-            for c in conf.categories
-        ),
-        rank=conf.rank,
-        assigners=conf.balancers,
+        routes=tuple(gp.Route(c.gain, tenths(c.promise)) for c in conf.categories),
         list_mode=conf.discovery,
         must_ask_in=tenths(rules.must_ask_in),
         probes_allowed=conf.ceilings.probes,
         warm_after=tenths(rules.cold),
         start_share=rules.start_capacity,
         fall_multiple=rules.fall_multiple,
-        drain_grace=tenths(rules.stop_sending_within),
         gone_binds=not rules.dropped_stay_open,
         report_period=tenths(it.report_every),
         channel_lines=it.egress_per_s,
--- a/garnetpaddle/wirehost/wire.py
+++ b/garnetpaddle/wirehost/wire.py
@@ -37,12 +37,8 @@
 
 class Category(msgspec.Struct):
     promise: float
-    deadline: float
-    effect: str
     name: str
     gain: float = 1.0
-    group: str = "zone"
-    window: float = 0.0
 
 
 class Ceilings(msgspec.Struct):
@@ -50,7 +46,6 @@
 
 
 class Contract(msgspec.Struct):
-    stop_sending_within: float
     start_capacity: float
     fall_multiple: float
     cold: float
@@ -75,8 +70,6 @@
     contract: Contract
     specifics: Specifics
     discovery: str
-    balancers: int = 1
-    rank: int = 0
 
 
 class Boot(ForInstance, tag="BOOT"):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,13 +8,11 @@
 from garnetpaddle.brain import Brain
 
 TRACES = pathlib.Path(__file__).parent / "traces"
-READ = gp.Route(1, 12_000, 30_000, "repeatable", "all", 0)
-SCAN = gp.Route(2, 15_000, 40_000, "keyed", "zone", 25_000)
-POST = gp.Route(5, 20_000, 50_000, "mutating", "all", 0)
 TERMS = gp.Terms(
-    routes=(READ, SCAN, POST), rank=0, assigners=1, list_mode="push", must_ask_in=100_000,
+    routes=(gp.Route(1, 12_000), gp.Route(2, 15_000), gp.Route(5, 20_000)),
+    list_mode="push", must_ask_in=100_000,
     probes_allowed=True, warm_after=150_000, start_share=0.2, fall_multiple=3.0,
-    drain_grace=20_000, gone_binds=True, report_period=10_000, channel_lines=2_000.0, queue_limit=4_000.0, head_lines=6.0,
+    gone_binds=True, report_period=10_000, channel_lines=2_000.0, queue_limit=4_000.0, head_lines=6.0,
     message_cap=0, message_span=100_000,
     level_kind="none", slices=0,
 )
