--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -365,7 +365,7 @@
         return now >= task.ramp_from + task.ramp_for
 
     def wanted(self, now):
-        """The lines that should stand: table -> task -> weight, the average weight being 1."""
+        """The lines that should stand: table -> task -> weight, the average share being 1."""
         ready = self.ready()
         self.fleet = max(self.fleet, len(ready))
         if self.terms.slices:
@@ -387,11 +387,9 @@
         taken = sum(ramp.values())
         if not full and taken < COLD_ALONE:
             ramp = {}
-        total = sum(full.values()) / (1 - min(taken, 0.9)) if full else 1.0
+        total = sum(full.values()) / (1 - min(taken, 0.9)) if full else self.fleet
         lines = full | {k: part * total for k, part in ramp.items()}
-        lines = {k: w for k, w in lines.items() if w >= LEAST_WEIGHT}
-        scale = len(lines) / sum(lines.values()) if lines else 1
-        return {TABLE: {k: w * scale for k, w in lines.items()}}
+        return {TABLE: {k: w for k, w in lines.items() if w >= LEAST_WEIGHT}}
 
     def ramp(self, now, task):
         if now < task.ramp_from + COLD_WAIT:
@@ -435,7 +433,7 @@
         if moved and (pushed or self.may_push(now, 1, len(moved), bound)):
             for level in sorted({levels[k] for k in moved}):
                 routes = tuple(k for k in moved if levels[k] == level)
-                # Further tries on proof only, whatever a call's effect: nothing twice, no fuel to an overload.
+                # Further tries on proof only, whatever a call's effect: nothing twice, no fuel for a jam.
                 orders.append(gp.Admit(TABLE, routes, level, "on proof"))
                 if self.admitted:
                     self.notes.append(f"routes {routes} are let in at {level:.0%}")
