--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -28,7 +28,7 @@
 COLD_PART = 0.5  # of what a cold task bears: the rest is for tries again, bursts and weak machines
 COLD_ALONE = 0.3  # of the fleet's work: with no warm task, cold ones that can do less would fall over
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
-COLD_WAIT = 25_000  # 2.5 s: a task just started can do little, and a burst then would spend its budget
+COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
 ROOM = (0.9, 0.5, 0.01)  # most of the queue limit that may wait before such a push
@@ -197,10 +197,10 @@
                 task.latency += good * event.latency
             if self.levels_at and until - event.span >= self.levels_at:
                 since = [*(a + b for a, b in zip(since, sums, strict=False)), max(since[3], event.span)]
-        if since[0]:
-            self.admit(*since)
         for name, sums in heard.items():
             self.learn(now, self.tasks[name], *sums)
+        if since[0]:
+            self.admit(*since)
         self.pending = []
         tasks = [t for t in self.ready() if not t.out]
         if tasks and sum(t.tries for t in tasks) >= ENOUGH * len(tasks):
@@ -313,7 +313,7 @@
             could = rate / busy
             self.could = (self.could or could) / 2 + could / 2
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
-        late = latency / max(tries - failures, 1) > LATE * slo or failing > 0.1
+        late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > 0.1
         pressure = max(busy, rate / self.could if self.could else 0.0) / FULL
         if late:
             pressure = max(pressure, JAMMED)  # also what waits already has to be worked off
@@ -392,7 +392,7 @@
         return {TABLE: {k: w for k, w in lines.items() if w >= LEAST_WEIGHT}}
 
     def ramp(self, now, task):
-        if now < task.ramp_from + COLD_WAIT:
+        if now < task.ramp_from + COLD_WAIT * self.terms.report_period:
             return 0.0
         grown = min(max(now - task.ramp_from, 0) / task.ramp_for, 1)
         start = self.terms.start_share
