--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -41,6 +41,7 @@
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 2.0  # most that admission moves at once: a jam must be left quickly
 JAMMED = 1.3  # pressure at least while answers come late: what waits has to be worked off too
+REBORN = 0.8  # of all work: let in by an instance started anew, until its first report
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 HOLD, HOLD_MOST = 30_000, 240_000  # 3 s out at first, doubled for each relapse up to 24 s
@@ -153,6 +154,9 @@
         if not self.proxies:
             self.since, self.covered, self.pending = now, {}, []
         self.proxies[event.proxy] = Proxy(event)
+        if not event.fresh and not self.levels and self.terms.level_kind == "fraction":
+            # Started anew among proxies at work: what was held back by levels now lost must not come at once.
+            self.let_in_part(REBORN)
 
     def heard_leave(self, now, event):
         self.proxies.pop(event.proxy, None)
@@ -317,8 +321,10 @@
         pressure = max(busy, rate / self.could if self.could else 0.0) / FULL
         if late:
             pressure = max(pressure, JAMMED)  # also what waits already has to be worked off
-        self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
-        cut = 1 - self.let_in
+        self.let_in_part(min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0))
+
+    def let_in_part(self, part):
+        self.let_in, cut = part, 1 - part
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
         every = sum(work.values())
         # The work of a route is not told; its SLO time stands for it.
