--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -40,7 +40,7 @@
 TIGHT = 0.88  # share of busy cores from which a fleet has no calm to spare for cold tasks and outs
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 2.0  # most that admission moves at once: a jam must be left quickly
-JAMMED = 1.3  # pressure at least while answers come late: what waits has to be worked off too
+JAMMED = 1.3  # times the pressure while answers come late: what waits has to be worked off too
 REBORN = 0.8  # of all work: let in by an instance started anew, until its first report
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
@@ -320,7 +320,7 @@
         late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > 0.1
         pressure = max(busy, rate / self.could if self.could else 0.0) / FULL
         if late:
-            pressure = max(pressure, JAMMED)  # also what waits already has to be worked off
+            pressure = max(pressure * JAMMED, 1.0)  # and no opening before that
         self.let_in_part(min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0))
 
     def let_in_part(self, part):
