--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -193,6 +193,8 @@
             task, good = self.tasks.get(event.task), event.tries - event.failures
             if not task or event.tries <= 0 or good < 0 or (good and not 0 < event.latency < math.inf):
                 continue  # a reading that is missing or makes no sense counts as unheard
+            if until - event.span < task.ramp_from:
+                continue  # it tells of the task's life before its restart
             sums = event.tries, event.failures, good * event.latency
             heard[event.task] = [a + b for a, b in zip(heard.get(event.task, (0, 0, 0.0)), sums, strict=True)]
             task.busy = max(event.load.get("busy", task.busy), 0.0)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -45,6 +45,18 @@
     play.matches("drain")
 
 
+def test_sums_from_before_a_restart_do_not_speak_against_the_task():
+    play = Play()
+    play.run(3)
+    play.sums["a"] = (10, 10, 0)
+    play.now += 500
+    play.hear(changes(line("a", started=3.4)))
+    play.run(1)
+    play.sums["a"] = (3, 0, 200)
+    play.run(4)
+    play.matches("former_life")
+
+
 @pytest.mark.parametrize("told_by", ["sums", "probes", "busy_cores"])
 def test_cold_tasks_stay_out_while_there_is_no_calm(told_by):
     play = Play()
