--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -28,6 +28,7 @@
 COLD_PART = 0.4  # of what a cold task bears: the rest is for tries again, bursts and weak machines
 COLD_ALONE = 0.3  # of the fleet's work: with no warm task, cold ones that can do less would fall over
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
+COLD_CALM = 0.6  # least calm for a cold line: however light, it gets all that proxies keep from others
 COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
@@ -390,7 +391,8 @@
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if self.warm(now, t)}
         # A cold task's part of all calls stays under its ramp's part of an even share, few as the warm are.
         # While most calls fail they come again and proxies avoid tasks: it would get more, so it waits.
-        calm = self.calm() ** 2 if full else 1.0
+        calm = self.calm() if full else 1.0
+        calm = calm**2 if calm > COLD_CALM else 0.0
         ramp = {t.id: calm * self.ramp(now, t) / self.fleet for t in tasks if not self.warm(now, t)}
         taken = sum(ramp.values())
         if not full and taken < COLD_ALONE:
