--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -73,6 +73,17 @@
     assert not any("e=" in shown for shown in play.trace)
 
 
+def test_a_cold_line_goes_wholly_before_all_calm_is_gone():
+    play = Play()
+    play.run(2)
+    play.hear(changes(line("e", started=1.9)))
+    play.run(4)
+    play.say("a fifth of all calls fail")
+    play.sums = {t: (20, 4, 200) for t in "abcde"}
+    play.run(4)
+    play.matches("cold_line_goes")
+
+
 def test_cold_tasks_alone_stand_once_they_can_carry_the_load():
     play = Play()
     play.run(1)
@@ -118,8 +129,11 @@
 def test_admission_lets_in_less_of_the_least_important_route_and_only_while_short():
     play = Play(level_kind="fraction")
     play.run(3)
-    play.say("every task answers late")
-    play.sums = {t: (20, 5, 1500) for t in "abcd"}
+    play.say("every task answers late, all cores are busy")
+    play.sums, play.load = {t: (20, 5, 1500) for t in "abcd"}, {"busy": 1.0}
+    play.run(6)
+    play.say("calls that waited are still late, but cores idle: no less and no more")
+    play.load = {"busy": 0.4}
     play.run(6)
     play.say("and well again")
     play.sums = {t: (20, 0, 200) for t in "abcd"}
@@ -127,6 +141,13 @@
     play.matches("admission")
 
 
+def test_admission_is_not_moved_by_one_bad_task():
+    play = Play(level_kind="fraction")
+    play.sums["a"], play.load = (20, 20, 0), {"busy": 0.75}
+    play.run(6)
+    assert sum("admit" in shown for shown in play.trace) == 1  # the levels it starts with
+
+
 def test_the_last_warm_line_stays_though_it_fails():
     play = Play(tasks="ab")
     play.run(1)
