Orders go as far as the queue allows, most urgent first; binds wait their turn

Changes are sorted by urgency and size and sent as far as they fit; binds stop at 0.75 of the limit, most calls first; tasks that left are shut out of the tables of proxies that wait. Acknowledged seals tell what has left the channel, the model (half the stated rate) the rest. Admission's rate counts each report line by its own span, since lines cover different times where they are capped.

May hurt: the last proxies bound keep their standing tables for some seconds.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -32,7 +32,10 @@
 COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
-ROOM = (0.9, 0.5, 0.01)  # most of the queue limit that may wait before such a push
+ROOM = (0.9, 0.7, 0.6)  # of the queue limit: most that may wait after such a push
+IDLE = 0.02  # of the queue limit: weights wait for less to wait, so they take half the channel at most
+JOINS = 0.75  # of the queue limit: most that may wait after a joining proxy's table; the rest is for drains
+HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
@@ -82,8 +85,9 @@
         self.admitted, self.notes = {}, []  # present state of the levels; lines for the log
         self.due, self.serial = [], 0
         self.beat_at = self.watch_fails = 0
-        self.queue, self.queue_at, self.pushed_at = 0.0, 0, -SECOND
-        self.mark, self.awaiting, self.applied_at, self.levels_at = 0, {}, 0, 0
+        self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, -SECOND
+        self.mark, self.waits_for, self.awaiting, self.applied_at, self.levels_at = 0, 0, None, 0, 0
+        self.withdrawn, self.left_at = {}, {}  # present state of what is shut out; when tasks left
         self.sums_at, self.since, self.pending, self.covered = 0, 0, [], {}
         self.probes_failing = 0.01
         self.let_in, self.could, self.levels, self.calls_heard = 1.0, 0.0, {}, {}
@@ -146,6 +150,8 @@
                     task.ramp_for = 0
                 if self.terms.probes_allowed:
                     self.later(now + int(self.uniform(0, PROBE_EVERY)), Brain.probe, task)
+        else:
+            self.left_at[line.task] = now
         self.lines[line.task] = line
 
     def watch(self, now, _, orders):
@@ -161,18 +167,24 @@
 
     def heard_leave(self, now, event):
         self.proxies.pop(event.proxy, None)
-        self.awaiting.pop(event.proxy, None)
-        self.settle(now)
+        self.settle(now, event.proxy)
 
     def heard_applied(self, now, event):
-        if event.mark == self.mark and event.proxy in self.awaiting:
-            del self.awaiting[event.proxy]
-            self.settle(now)
-
-    def settle(self, now):
+        if event.mark in self.sent:
+            # Messages leave in order: what was written before this one has left the channel.
+            reply = self.sent[event.mark]
+            reply[0] += reply[1]
+            self.queue = max(0.0, min(self.queue, self.written - reply[0]))
+        if (event.mark - self.waits_for) % 65_536 < 32_768:
+            self.settle(now, event.proxy)
+
+    def settle(self, now, proxy):
         """A push has taken effect once all but a tenth of the calls go by it."""
-        if not self.applied_at and sum(self.awaiting.values()) <= 0.1 * self.calls():
-            self.applied_at = now
+        if self.awaiting is None:
+            return
+        self.awaiting.pop(proxy, None)
+        if sum(self.awaiting.values()) <= 0.1 * self.calls():
+            self.applied_at, self.awaiting = now, None
             self.levels_at = self.levels_at or now
 
     def calls(self):
@@ -189,10 +201,12 @@
     def gather(self, now):
         """Keeps of the last sums what was wholly counted after the last push took effect, and steps on it."""
         until = min(max(self.covered.values()), now)
-        heard, since = {}, [0, 0, 0.0, 1]
+        heard, since = {}, [0, 0, 0.0, 0.0, 0]
         for event in self.pending:
             task, good = self.tasks.get(event.task), event.tries - event.failures
-            if not task or event.tries <= 0 or good < 0 or (good and not 0 < event.latency < math.inf):
+            if not task or min(event.span, event.tries) <= 0 or good < 0:
+                continue
+            if good and not 0 < event.latency < math.inf:
                 continue  # a reading that is missing or makes no sense counts as unheard
             if until - event.span < task.ramp_from:
                 continue  # it tells of the task's life before its restart
@@ -203,7 +217,7 @@
                 task.tries, task.failures = task.tries + event.tries, task.failures + event.failures
                 task.latency += good * event.latency
             if self.levels_at and until - event.span >= self.levels_at:
-                since = [*(a + b for a, b in zip(since, sums, strict=False)), max(since[3], event.span)]
+                since = [a + b for a, b in zip(since, (*sums, event.tries / event.span, 1), strict=True)]
         for name, sums in heard.items():
             self.learn(now, self.tasks[name], *sums)
         if since[0]:
@@ -289,7 +303,7 @@
 
     def step(self, tasks):
         """The design's step: each share times its smoothed headroom, bounded, then renormalised."""
-        self.applied_at = 0
+        self.applied_at, self.awaiting = 0, None
         tries = sum(t.tries for t in tasks)
 
         def spent(t):
@@ -310,11 +324,12 @@
         for t in tasks:
             t.share = max(t.share * scale, FLOOR)
 
-    def admit(self, tries, failures, latency, span):
+    def admit(self, tries, failures, latency, rates, pairs):
         """How much work to let in; acts only where the whole fleet is short, and least worth goes first."""
         if self.terms.level_kind != "fraction":
             return
-        rate, busy, failing = tries / span, self.busy(), failures / tries
+        # Lines of one report cover different times: each counts by its own span, their mean for all.
+        rate, busy, failing = rates / pairs, self.busy(), failures / tries
         if busy > 0.2 and failing < 0.05:
             # What the fleet can answer, read while it keeps up; a jam hides it.
             could = rate / busy
@@ -412,73 +427,107 @@
         """The one place where wanted and present state are compared and the difference goes out."""
         self.queue = max(0.0, self.queue - (now - self.queue_at) / SECOND * self.terms.channel_lines / 2)
         self.queue_at = now
-        changes = []
+        limit, sliced, changes = self.terms.queue_limit, self.terms.slices, []
         for table, lines in self.wanted(now).items():
             laid = self.laid.setdefault(table, {})
+            bare = not any(k in lines for k in laid)
             for k in laid:
                 # A list that shrank to nothing: where being dropped does not bind, the last table stands.
                 if k not in lines and (lines or self.terms.gone_binds or self.lines[k].state == "draining"):
-                    changes.append((int(self.lines[k].state == "ready"), table, k, 0.0))
+                    changes.append((int(self.lines[k].state == "ready"), -laid[k], table, k, 0.0))
             for k, weight in lines.items():
                 if k not in laid:
-                    changes.append((1 if laid else 0, table, k, weight))
+                    changes.append((int(not bare), -weight, table, k, weight))
                 elif abs(weight - laid[k]) > MOVED * laid[k]:
-                    changes.append((2, table, k, weight))
-        sliced = self.terms.slices
-        levels = {} if sliced else {k: self.levels.get(k, 1.0) for k in range(len(self.terms.routes))}
+                    changes.append((2, -abs(weight - laid[k]), table, k, weight))
+        changes.sort()
         joining = [p for p, proxy in self.proxies.items() if not sliced and not proxy.bound]
+        joining.sort(key=lambda p: -self.proxies[p].rate)
         bound = [proxy for proxy in self.proxies.values() if sliced or proxy.bound]
-        pushed = not changes
-        if changes and self.may_push(now, min(changes)[0], len(changes), bound):
-            for _, table, k, weight in changes:
-                orders.append(gp.SetLine(table, k, round(weight, 3) if weight else 0.0))
-                if weight:
-                    self.laid[table][k] = weight
-                else:
-                    del self.laid[table][k]
-            self.write(now, len(changes), bound)
+        start, least = self.written, limit
+        fit = self.fits(now, changes, bound)
+        for _, _, table, k, weight in changes[:fit]:
+            if weight and self.withdrawn.pop(k, False):
+                orders.append(gp.Withdraw(k, False))
+                self.write(now, 0, joining)
+            orders.append(gp.SetLine(table, k, round(weight, 3) if weight else 0.0))
+            if weight:
+                self.laid[table][k] = weight
+            else:
+                del self.laid[table][k]
+        if fit and bound:
             self.pushed_at = now
-            pushed = True
+        levels = {} if sliced else {k: self.levels.get(k, 1.0) for k in range(len(self.terms.routes))}
         moved = [k for k in levels if levels[k] != self.admitted.get(k)]
-        if moved and (pushed or self.may_push(now, 1, len(moved), bound)):
+        if moved and (fit or self.fits(now, [(1,)] * len(moved), bound)):
             for level in sorted({levels[k] for k in moved}):
                 routes = tuple(k for k in moved if levels[k] == level)
                 # Further tries on proof only, whatever a call's effect: nothing twice, no fuel for a jam.
                 orders.append(gp.Admit(TABLE, routes, level, "on proof"))
                 if self.admitted:
                     self.notes.append(f"routes {routes} are let in at {level:.0%}")
-            self.admitted, self.applied_at, self.levels_at, self.awaiting = levels, 0, 0, {}
-            self.write(now, len(moved), bound)
-        for p in joining:
+            self.admitted, self.applied_at, self.levels_at, self.awaiting = levels, 0, 0, None
+        else:
+            moved = []
+        if fit or moved:
+            least = self.write(now, fit + len(moved), bound)
+        # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
+        lines = len(self.laid.get(TABLE, ())) + len(levels) + 1
+        reached = self.proxies if fit or moved else joining[:]
+        while joining and self.queue + lines + self.terms.head_lines + 1 <= JOINS * limit:
+            p = joining.pop(0)
             orders.append(gp.Bind(p, TABLE))
             self.proxies[p].bound = True
-            self.write(now, len(self.laid[TABLE]) + 4, [self.proxies[p]])
-        if self.applied_at or self.awaiting or not pushed:
-            return
-        if not changes and not joining and not moved:
-            self.applied_at = now  # nothing moved enough to be sent: the last push still stands
-        elif self.proxies:
+            least = min(least, self.write(now, lines, [self.proxies[p]]))
+        self.shut_out(now, [self.proxies[p] for p in joining], orders)
+        if self.written > start:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
-            reached = self.proxies if changes or moved else joining
-            self.awaiting = {p: self.proxies[p].rate for p in reached}
-
-    def may_push(self, now, urgency, lines, bound):
-        room = ROOM[urgency] * self.terms.queue_limit
-        cost = len(bound) * (lines + self.terms.head_lines + 1)
-        if now - self.pushed_at < PACE[urgency] or self.queue > room:
-            return False
-        if self.queue + cost > ROOM[0] * self.terms.queue_limit and self.queue:
-            return False
+            self.sent[self.mark] = [start, least]
+            self.sent.pop((self.mark - 64) % 65_536, None)
+        if not self.applied_at and self.awaiting is None and fit == len(changes):
+            if self.written > start:
+                self.waits_for, self.awaiting = self.mark, {p: self.proxies[p].rate for p in reached}
+            else:
+                self.applied_at = now  # nothing moved enough to be sent: the last push still stands
+
+    def shut_out(self, now, waiting, orders):
+        """Proxies that wait for their table may hold lines of tasks that left: these are shut out."""
+        for k, at in self.left_at.items() if waiting else ():
+            state = self.lines[k].state
+            binds = state == "draining" or state == "gone" and self.terms.gone_binds
+            if binds and k not in self.withdrawn and now - at < HELD:
+                orders.append(gp.Withdraw(k, True))
+                self.withdrawn[k] = True
+                self.write(now, 0, waiting)
+
+    def fits(self, now, changes, bound):
+        """How many changes may go now, the most urgent first: pace, queue and message cap tell."""
+        fit = 0
+        for urgency in range(3):
+            upto = sum(c[0] <= urgency for c in changes)
+            if upto <= fit or now - self.pushed_at < PACE[urgency] or self.capped(now, urgency, bound):
+                continue
+            if not bound:
+                fit = upto
+            elif fit or urgency < 2 or self.queue <= IDLE * self.terms.queue_limit:
+                room = (ROOM[urgency] * self.terms.queue_limit - self.queue) / len(bound)
+                fit = max(fit, min(upto, int(room - self.terms.head_lines - 1)))
+        return fit
+
+    def capped(self, now, urgency, bound):
         cap = self.terms.message_cap
         for proxy in bound if cap else ():
             while proxy.messages and proxy.messages[0] <= now - self.terms.message_span - SECOND:
                 proxy.messages.popleft()
             if len(proxy.messages) >= CAPPED[urgency] * cap - 1:
-                return False
-        return True
+                return True
+        return False
 
     def write(self, now, lines, proxies):
-        self.queue += len(proxies) * (lines + self.terms.head_lines + 1)
+        cost = lines + self.terms.head_lines + 1
+        self.queue += len(proxies) * cost
+        self.written += len(proxies) * cost
         for proxy in proxies:
             proxy.messages.append(now)
+        return cost
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -261,3 +261,23 @@
         play.run(9)
         traces.append(play.trace)
     assert traces[0] == traces[1] and len(traces[0]) > 2
+
+
+def test_many_joins_fill_the_queue_only_in_part_and_what_left_is_shut_out_meanwhile():
+    play = Play(proxies=0, queue_limit=100.0, channel_lines=100.0)
+    play.hear(*(gp.ProxyJoined(p, 10.0 + p, True, "z") for p in range(8)))
+    play.hear(changes(line("a", "draining")))
+    play.run(2)
+    play.matches("many_joins")
+
+
+def test_rates_of_report_lines_count_by_their_own_span():
+    play = Play(level_kind="fraction")
+    play.load = {"busy": 0.7}
+    play.run(4.5)
+    play.sums = {"d": (10, 0, 200)}
+    play.hear(*(gp.TaskSums(t, "z", 40, 0, 2_000.0, 40_000, play.load) for t in "abc"))
+    play.run(0.9)
+    play.sums = {t: (10, 0, 200) for t in "abcd"}
+    play.run(3)
+    assert sum("admit" in shown for shown in play.trace) == 1  # the levels it starts with
