--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -6,6 +6,7 @@
 It reads no clock and does no I/O. docs/design.md says what it keeps of its source and when exceptions act.
 """
 
+import dataclasses
 import heapq
 import math
 import random
@@ -39,6 +40,7 @@
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
+UNLISTED = 3.0  # evidence in a list that drops a task without a drain: two failures then do
 BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
 FULL = 0.8  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
 TIGHT = 0.88  # share of busy cores from which a fleet has no calm to spare for cold tasks and outs
@@ -62,7 +64,7 @@
         self.id = line.task
         self.share, self.headroom = line.size, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.trial, self.slow, self.probe_failed = False, False, False
+        self.trial, self.slow, self.probe_failed, self.unlisted = False, False, False, False
         self.heard_at, self.answers, self.busy = -SECOND, 0.0, 0.0
         self.ramp_from, self.ramp_for, self.failing = 0, 0, 0.0
         self.forget()
@@ -140,8 +142,15 @@
         known = self.lines.get(line.task)
         if known and known.state == "draining" and line.state == "gone":
             return
+        if known and known.state == "ready" and line.state == "gone" and not self.terms.gone_binds:
+            # The list may be wrong: what it says counts as evidence, and calls and probes say the rest.
+            task = self.tasks[line.task]
+            task.doubt, task.unlisted = max(task.doubt, UNLISTED), True
+            return
         if line.state == "ready":
             restarted = known and line.started_at > known.started_at
+            if line.task in self.tasks:
+                self.tasks[line.task].unlisted = False
             if line.task not in self.tasks or restarted or known.state != "ready":
                 task = Task(line)
                 self.tasks[line.task] = task
@@ -365,7 +374,9 @@
         gone = sum(t.share for t in ready if t.out or t.trial)
         most = OUT_MOST * self.calm() * total
         for t in sorted(ready, key=lambda t: -t.doubt):
-            if not t.out and t.doubt >= SURE and gone + t.share <= most:
+            if t.unlisted and t.doubt >= SURE:
+                self.lines[t.id] = dataclasses.replace(self.lines[t.id], state="gone")
+            elif not t.out and t.doubt >= SURE and gone + t.share <= most:
                 gone += t.share
                 t.out, t.good_probes = True, 0
                 t.hold = now + min(HOLD * 2 ** t.holds, HOLD_MOST)
