--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -164,8 +164,7 @@
                 task = self.tasks[line.task] = Task(line, share, self.terms.warm_after)
                 if self.terms.probes_allowed:
                     self.later(now + int(self.uniform(0, PROBE_EVERY)), Brain.probe, task)
-        else:
-            self.left_at[line.task] = now
+        self.left_at[line.task] = now
         self.lines[line.task] = line
 
     def watch(self, now, _, orders):
@@ -507,7 +506,7 @@
 
     def fits(self, now, changes, bound):
         """How many changes may go now, the most urgent first: pace, queue and message cap tell."""
-        fit = 0
+        fit, head = 0, self.terms.head_lines + 1
         for urgency in range(3):
             upto = sum(c[0] <= urgency for c in changes)
             if upto <= fit or now - self.pushed_at < PACE[urgency] or self.capped(now, urgency, bound):
@@ -515,8 +514,9 @@
             if not bound:
                 fit = upto
             elif fit or urgency < 2 or self.queue <= IDLE * self.terms.queue_limit:
-                room = (ROOM[urgency] * self.terms.queue_limit - self.queue) / len(bound)
-                fit = max(fit, min(upto, int(room - self.terms.head_lines - 1)))
+                room = int((ROOM[urgency] * self.terms.queue_limit - self.queue) / len(bound) - head)
+                # Part of them only where lines outweigh heads: else the heads would fill the channel.
+                fit = upto if room >= upto else max(fit, room * (room >= head or urgency == 2))
         return fit
 
     def capped(self, now, urgency, bound):
