Each assigner orders its part of the fleet where the whole overruns the channel

Cause: one table of 73 to 104 lines for 70 to 100 proxies takes 2 to 4 s to send, its reports 3 to 6 s to come round. Where proxies an assigner x (tasks + head) pass the queue limit and there are several assigners, each one's table holds its part: as much as it has of the proxies, at least an even part; from its own zone first where proxies are homed by zone and every zone has an assigner. Meets also: handshakes, connections, probes (only of its part). May hurt: parts of unequal load; proxies that come over widen it only as the channel allows. Slices dropped: no site has them; wirehost refuses such settings by name.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -62,7 +62,7 @@
 
 class Task:
     def __init__(self, line, share, warm_after):
-        self.id, self.kind = line.task, line.kind
+        self.id, self.kind, self.zone = line.task, line.kind, line.zone
         self.ramp_from, self.ramp_for = line.started_at, warm_after if line.started_at else 0
         self.share, self.headroom, self.failing = share, 0.0, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
@@ -82,8 +82,7 @@
 
 class Proxy:
     def __init__(self, joined):
-        self.rate, self.bound = max(0.1, joined.rate), False  # in this order a rate that is no number is 0.1
-        self.messages = deque(maxlen=99)
+        self.rate, self.bound, self.messages = max(0.1, joined.rate), False, deque(maxlen=99)
 
 
 class Brain:
@@ -91,7 +90,7 @@
         self.terms = terms
         self.uniform = random.Random(seed).uniform
         self.tasks, self.lines, self.proxies = {}, {}, {}
-        self.laid = {}  # present state: table (or slice in charge) -> task -> weight
+        self.laid = {}  # present state of the table: task -> weight
         self.admitted, self.notes = {}, []  # present state of the levels; lines for the log
         self.due, self.serial, self.beat_at, self.watch_fails = [], 0, 0, 0
         self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, -SECOND
@@ -102,7 +101,7 @@
         self.let_in, self.levels, self.calls_heard = 1.0, {}, {}
         self.size, self.cut = 0.0, False  # mean listed size at the start, a share of 1; no further tries
         self.round = terms.report_period  # time in which reports tell of all: capped lines take turns
-        self.fleet = 1  # most tasks ever ready at once
+        self.fleet, self.mine = 1, []  # most tasks ever ready at once; those that this instance orders
 
     def handle(self, now, events):
         orders = []
@@ -236,12 +235,11 @@
         if since[0]:
             self.admit(*since)
         self.pending = []
-        tasks = [t for t in self.ready() if not t.out]
+        tasks = [t for t in self.mine if not t.out]
         if tasks and sum(t.tries for t in tasks) >= ENOUGH * len(tasks):
             self.step(tasks)
 
     def learn(self, now, task, tries, failures, latency):
-        """What one report says of a task's health."""
         good = tries - failures
         task.failing += tries / (tries + FEW) * (failures / tries - task.failing)
         task.heard_at = now
@@ -268,6 +266,7 @@
             return
         ok = event.outcome == "ok"
         task.good_probes = task.good_probes + 1 if ok else 0
+        task.unlisted = task.unlisted and not ok  # the list says that it is gone; it answers
         if not task.out and not (task.slow and event.outcome != "error"):
             self.weigh(task, int(not ok), int(ok), self.probes_failing())
         task.probe_failed = not ok
@@ -279,26 +278,20 @@
         task.doubt += failures * math.log(bad / usual) + good * math.log((1 - bad) / (1 - usual))
         task.doubt = min(max(task.doubt, -TRUST), 2 * SURE)
 
-    def heard_slice(self, now, event):
-        self.laid.pop(event.slice, None)
-        if event.ours:
-            self.laid[event.slice] = {}
-
     def heard_route(self, now, event):
         self.calls_heard[event.route] = self.calls_heard.get(event.route, 0) + event.calls
 
     READ = {
         gp.ListHeard: heard_list, gp.ProxyJoined: heard_join, gp.ProxyLeft: heard_leave,
         gp.Applied: heard_applied, gp.TaskSums: heard_sums, gp.ProbeAnswered: heard_probe,
-        gp.SliceGiven: heard_slice, gp.RouteSums: heard_route, gp.TimerDue: lambda *_: None,
-        gp.SliceLine: lambda self, _, e: self.laid.get(e.slice, {}).update({e.task: e.weight}),
+        gp.RouteSums: heard_route, gp.TimerDue: lambda *_: None,
     }
 
     # What is decided.
 
     def probe(self, now, task, orders):
         if self.tasks.get(task.id) is task and self.lines[task.id].state == "ready":
-            orders.append(gp.Probe(task.id))
+            orders += [gp.Probe(task.id)] if task in self.mine else []
             every = PROBE_SOON if task.out or task.doubt > SURE / 3 else PROBE_EVERY
             self.later(now + every, Brain.probe, task)
 
@@ -387,31 +380,37 @@
         return statistics.fmean(busy) if busy else 0.0
 
     def wanted(self, now):
-        """The lines that should stand: table -> task -> weight, the average share being 1."""
+        """The lines that should stand: task -> weight, the average share being 1."""
         ready = self.ready()
         self.fleet = max(self.fleet, len(ready))
-        if self.terms.slices:
-            names = [t.id for t in ready]
-            tables = {}
-            for number, held in self.laid.items():
-                kept = {k: w for k, w in held.items() if k in self.lines and self.lines[k].state == "ready"}
-                tables[number] = kept or ({names[number % len(names)]: 1.0} if names else {})
-            return tables
-        tasks = [t for t in ready if not t.out]
+        self.mine = mine = self.part(now, ready)
+        tasks = [t for t in mine if not t.out]
         if not any(t.warm(now) for t in tasks):  # failing beats none: the least doubtful warm task stays
-            tasks += sorted((t for t in ready if t.out and t.warm(now)), key=lambda t: t.doubt)[:1]
+            tasks += sorted((t for t in mine if t.out and t.warm(now)), key=lambda t: t.doubt)[:1]
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if t.warm(now)}
         # A cold task gets its ramp's part of an even share at most, few as the warm are. While most fail
         # calls come again, and proxies that avoid tasks would crowd it: there it waits.
         calm = self.calm() if full else 1.0
-        calm = max(calm, COLD_CALM) if self.spread_thin(ready) else calm**2 if calm > COLD_CALM else 0.0
-        ramp = {t.id: calm * self.ramp(now, t) / self.fleet for t in tasks if not t.warm(now)}
+        calm = max(calm, COLD_CALM) if self.spread_thin(mine) else calm**2 if calm > COLD_CALM else 0.0
+        even = self.fleet * len(mine) / max(len(ready), 1)
+        ramp = {t.id: calm * self.ramp(now, t) / even for t in tasks if not t.warm(now)}
         taken = sum(ramp.values())
         if not full and taken < COLD_ALONE:
             ramp = {}
-        total = sum(full.values()) / (1 - min(taken, 0.9)) if full else self.fleet
+        total = sum(full.values()) / (1 - min(taken, 0.9)) if full else even
         full |= {k: part * total for k, part in ramp.items()}
-        return {TABLE: {k: weight for k, weight in full.items() if weight >= LEAST_WEIGHT}}
+        return {k: weight for k, weight in full.items() if weight >= LEAST_WEIGHT}
+
+    def part(self, now, ready):
+        """Where all tasks for all proxies overrun the channel, each assigner orders its part of the fleet."""
+        it, size = self.terms, max(len(self.proxies) / self.terms.proxies, 1 / self.terms.assigners)
+        if it.proxies / it.assigners * (self.fleet + it.head_lines) <= it.queue_limit or size >= 1:
+            return ready
+        homed = it.homed and it.assigners >= it.zones
+        ready = sorted(ready, key=lambda t: (homed and t.zone != it.zone, t.id))
+        first = 0 if homed else round(len(ready) * it.rank / it.assigners)
+        mine = (ready[first:] + ready[:first])[:math.ceil(len(ready) * size)]
+        return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
     def spread_thin(self, ready):
         """Whether a proxy meets each task too seldom to avoid any: then cold ones are not crowded."""
@@ -429,38 +428,39 @@
         """The one place where wanted and present state are compared and the difference goes out."""
         self.queue = max(0.0, self.queue - (now - self.queue_at) / SECOND * self.terms.channel_lines / 2)
         self.queue_at = now
-        limit, sliced, changes = self.terms.queue_limit, self.terms.slices, []
-        for table, lines in self.wanted(now).items():
-            laid = self.laid.setdefault(table, {})
-            bare = not any(k in lines for k in laid)
-            for k in laid:
-                # A list that shrank to nothing: where being dropped does not bind, the last table stands.
-                if k not in lines and (lines or self.terms.gone_binds or self.lines[k].state == "draining"):
-                    changes.append((int(self.lines[k].state == "ready"), -laid[k], table, k, 0.0))
-            for k, weight in lines.items():
-                if k not in laid:
-                    changes.append((int(not bare), -weight, table, k, weight))
-                elif abs(weight - laid[k]) > MOVED * laid[k]:
-                    changes.append((2, -abs(weight - laid[k]), table, k, weight))
+        limit, lines, laid, changes = self.terms.queue_limit, self.wanted(now), self.laid, []
+        bare = not any(k in lines for k in laid)
+        for k in laid:
+            # A list that shrank to nothing: where being dropped does not bind, the last table stands.
+            if k not in lines and (lines or self.terms.gone_binds or self.lines[k].state == "draining"):
+                task, ready = self.tasks[k], self.lines[k].state == "ready"
+                changes.append((ready * (1 if task.out or not task.warm(now) else 2), -laid[k], k, 0.0))
+        for k, weight in lines.items():
+            if k not in laid:
+                changes.append((int(not bare), -weight, k, weight))
+            elif abs(weight - laid[k]) > MOVED * laid[k]:
+                # Cold lines shrink soon: with warm ones gone, the same weight brings them more calls.
+                soon = weight < laid[k] and not self.tasks[k].warm(now)
+                changes.append((1 if soon else 2, -abs(weight - laid[k]), k, weight))
         changes.sort()
-        joining = [p for p, proxy in self.proxies.items() if not (sliced or proxy.bound)]
+        joining = [p for p, proxy in self.proxies.items() if not proxy.bound]
         joining.sort(key=lambda p: -self.proxies[p].rate)
-        bound = [proxy for proxy in self.proxies.values() if sliced or proxy.bound]
+        bound = [proxy for proxy in self.proxies.values() if proxy.bound]
         start, least = self.written, limit
         fit = self.fits(now, changes, bound)
-        for _, _, table, k, weight in changes[:fit]:
+        for _, _, k, weight in changes[:fit]:
             if weight and self.withdrawn.pop(k, False):
                 orders.append(gp.Withdraw(k, False))
                 self.write(now, 0, joining)
-            orders.append(gp.SetLine(table, k, round(weight, 3)))
-            self.laid[table][k] = weight
+            orders.append(gp.SetLine(TABLE, k, round(weight, 3)))
+            laid[k] = weight
             if not weight:
-                del self.laid[table][k]
+                del laid[k]
         self.pushed_at = now if fit and bound else self.pushed_at
         # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
         self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
         tries = "none" if self.cut else "on proof"
-        levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes)) if not sliced}
+        levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
         moved = [k for k in levels if levels[k] != self.admitted.get(k)]
         if not fit and not self.fits(now, [(1,)] * len(moved), bound):
             moved = []
@@ -474,7 +474,7 @@
         if fit or moved:
             least = self.write(now, fit + len(moved), bound)
         # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
-        lines = len(self.laid.get(TABLE, ())) + len(levels) + 1
+        lines = len(laid) + len(levels) + 1
         reached = self.proxies if fit or moved else joining[:]
         while joining and self.queue + lines + self.terms.head_lines + 1 <= JOINS * limit:
             p = joining.pop(0)
--- a/garnetpaddle/interface/__init__.py
+++ b/garnetpaddle/interface/__init__.py
@@ -8,8 +8,6 @@
     ProxyJoined,
     ProxyLeft,
     RouteSums,
-    SliceGiven,
-    SliceLine,
     TaskLine,
     TaskSums,
     TimerDue,
@@ -30,6 +28,6 @@
 
 __all__ = [
     "Admit", "Applied", "Bind", "Event", "ListHeard", "Note", "Order", "Probe", "ProbeAnswered",
-    "ProxyJoined", "ProxyLeft", "Route", "RouteSums", "Seal", "SetLine", "SliceGiven", "SliceLine",
+    "ProxyJoined", "ProxyLeft", "Route", "RouteSums", "Seal", "SetLine",
     "TaskLine", "TaskSums", "Terms", "Timer", "TimerDue", "Watch", "Withdraw",
 ]
--- a/garnetpaddle/interface/events.py
+++ b/garnetpaddle/interface/events.py
@@ -79,19 +79,6 @@
     elapsed: int
 
 
-@dataclass(frozen=True, slots=True)
-class SliceGiven:
-    slice: int
-    ours: bool
-
-
-@dataclass(frozen=True, slots=True)
-class SliceLine:
-    slice: int
-    task: str
-    weight: float
-
-
 Event = (
     ListHeard
     | TimerDue
@@ -101,6 +88,4 @@
     | TaskSums
     | RouteSums
     | Applied
-    | SliceGiven
-    | SliceLine
 )
--- a/garnetpaddle/interface/terms.py
+++ b/garnetpaddle/interface/terms.py
@@ -28,5 +28,10 @@
     message_cap: int  # messages to one proxy in message_span; 0: no cap
     message_span: int
     level_kind: str  # "fraction", "per_second" or "none"
-    slices: int
+    proxies: int = 1  # of all assigners
+    assigners: int = 1
+    rank: int = 0  # of this assigner among them
+    zone: str = ""  # it stands in
+    zones: int = 1
+    homed: bool = False  # proxies join an assigner of their own zone where there is one
     strikes: int = 0  # own failures in a row after which a proxy avoids a task; 0: never
--- a/garnetpaddle/wirehost/translate.py
+++ b/garnetpaddle/wirehost/translate.py
@@ -39,6 +39,8 @@
 
 def terms(conf):
     it, rules = conf.specifics, conf.contract
+    if it.ranges:
+        raise Unknown("specifics.ranges", it.ranges)  # no site has slices yet: none are steered
     return gp.Terms(
         routes=tuple(gp.Route(c.gain, tenths(c.promise)) for c in conf.categories),
         list_mode=conf.discovery,
@@ -55,8 +57,13 @@
         message_cap=it.pushes_allowed,
         message_span=tenths(it.counted_over),
         level_kind=it.level_kind,
-        slices=it.ranges,
         strikes=it.strikes,
+        proxies=max(it.agents, 1),
+        assigners=max(conf.balancers, 1),
+        rank=conf.rank,
+        zone=conf.my_zone,
+        zones=max(len(conf.azs), 1),
+        homed=it.homed_by_zone,
     )
 
 
@@ -96,10 +103,6 @@
             return gp.RouteSums(
                 m.forwarder, word(routes, m.band, "band"), m.tries_n, m.unanswered, tenths(m.span)
             )
-        case wire.Given():
-            return gp.SliceGiven(m.sheet, m.flag)
-        case wire.StandingLine():
-            return gp.SliceLine(m.sheet, m.task, m.size or 0.0)
         case wire.Installed():
             return gp.Applied(m.forwarder, m.gen, tenths(m.cost_time))
     return None
--- a/garnetpaddle/wirehost/wire.py
+++ b/garnetpaddle/wirehost/wire.py
@@ -64,6 +64,8 @@
     level_kind: str = "none"
     ranges: int = 0
     strikes: int = 0
+    agents: int = 1
+    homed_by_zone: bool = False
 
 
 class Conf(msgspec.Struct):
@@ -72,6 +74,10 @@
     contract: Contract
     specifics: Specifics
     discovery: str
+    balancers: int = 1
+    rank: int = 0
+    my_zone: str = ""
+    azs: list[str] = []
 
 
 class Boot(ForInstance, tag="BOOT"):
@@ -132,21 +138,6 @@
     span: float | None = None
 
 
-class RangeLoad(ForInstance, tag="RANGE_LOAD"):
-    """The load of a slice: slices are only kept pickable, so this is read and passed over."""
-
-
-class Given(ForInstance, tag="GIVEN"):
-    sheet: int
-    flag: bool
-
-
-class StandingLine(ForInstance, tag="STANDING_LINE"):
-    sheet: int
-    task: str
-    size: float | None = None
-
-
 class Installed(ForInstance, tag="INSTALLED"):
     forwarder: int
     gen: int
@@ -155,7 +146,7 @@
 
 ANY = (
     Mark | Flush | SnapshotRows | Boot | PowerOff | Endpoints | DeadlineHit | Probed | Message | Connected
-    | LostStream | TrafficReport | Demand | RangeLoad | Given | StandingLine | Installed
+    | LostStream | TrafficReport | Demand | Installed
 )
 
 decode = msgspec.json.Decoder(ANY).decode
