Admission heeds calls that pile up though cores idle; rate power 0.7 in the headroom

Told apart from a jam of cores by idle cores, from bad tasks by all failing at once. Also meets io stalls, lock convoys, slow stores.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,7 +21,7 @@
 BETA = 0.4  # weight of the latest reading: steps are seconds apart, and one reading is noisy
 STEP_UP, STEP_DOWN = 2.0, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
 FLOOR = 0.2  # of the average share: enough calls to keep hearing of a task
-RATE = 0.5  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
+RATE = 0.7  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
 FEW = 10.0  # answers: a reading of so few counts half, the average the other half
 ENOUGH = 8  # answers a task on average before a step: fewer are gathered over more reports
 FAILED = SECOND  # a failed answer counts as 1 s of latency
@@ -47,8 +47,8 @@
 TIGHT = 0.88  # share of busy cores from which a fleet has no calm to spare for cold tasks and outs
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 2.0  # most that admission moves at once: a jam must be left quickly
+PILED = 3.0  # times the usual calls in hand: more than swings of traffic bring
 JAMMED = 1.3  # times the pressure while answers come late: what waits has to be worked off too
-REBORN = 0.8  # of all work: let in by an instance started anew, until its first report
 NO_TRIES = 0.1  # share of failures at the median task from which nothing is tried again
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
@@ -67,7 +67,7 @@
         self.share, self.headroom, self.failing = share, 0.0, 0.0
         self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
         self.trial, self.slow, self.probe_failed, self.unlisted = False, False, False, False
-        self.heard_at, self.good_at, self.answers, self.busy = -SECOND, -SECOND, 0.0, 0.0
+        self.heard_at, self.good_at, self.answers, self.busy, self.held = -SECOND, -SECOND, 0.0, 0.0, 0.0
         self.forget()
 
     def warm(self, now):
@@ -99,6 +99,7 @@
         self.withdrawn, self.left_at = {}, {}  # present state of what is shut out; when tasks left
         self.sums_at, self.since, self.pending, self.covered = 0, 0, [], {}
         self.let_in, self.levels, self.calls_heard = 1.0, {}, {}
+        self.held = 1.0  # calls in hand at the median task while answers are in time
         self.size, self.cut = 0.0, False  # mean listed size at the start, a share of 1; no further tries
         self.round = terms.report_period  # time in which reports tell of all: capped lines take turns
         self.fleet, self.mine = 1, []  # most tasks ever ready at once; those that this instance orders
@@ -126,8 +127,6 @@
         self.serial += 1
         heapq.heappush(self.due, (at, self.serial, act, subject))
 
-    # What is heard.
-
     def heard_list(self, now, event):
         if event.form == "lost":
             # Spread and doubled: assigners cut off together must not ask together.
@@ -175,9 +174,6 @@
             # Standing tables are drawn by chance from the list: on average they are the first shares.
             self.effect, self.awaited = {"weights": now, "levels": now}, {}
         self.proxies[event.proxy] = Proxy(event)
-        if not event.fresh and not self.levels and self.terms.level_kind == "fraction":
-            # Started anew among proxies at work: what was held back by levels now lost must not come at once.
-            self.let_in_part(REBORN)
 
     def heard_leave(self, now, event):
         self.proxies.pop(event.proxy, None)
@@ -225,6 +221,7 @@
             sums = event.tries, event.failures, good * event.latency
             heard[event.task] = [a + b for a, b in zip(heard.get(event.task, (0, 0, 0.0)), sums, strict=True)]
             task.busy = max(0.0, event.load.get("busy", task.busy))
+            task.held = max(0.0, event.load.get("in_hand", task.held))
             if 0 < self.effect["weights"] <= until - event.span:
                 task.tries, task.failures = task.tries + event.tries, task.failures + event.failures
                 task.latency += good * event.latency
@@ -232,7 +229,7 @@
                 since = [a + b for a, b in zip(since, sums, strict=True)]
         for name, sums in heard.items():
             self.learn(now, self.tasks[name], *sums)
-        if since[0]:
+        if since[0] and self.terms.level_kind == "fraction":
             self.admit(*since)
         self.pending = []
         tasks = [t for t in self.mine if not t.out]
@@ -265,6 +262,7 @@
         if task is None or event.outcome == "full":
             return
         ok = event.outcome == "ok"
+        task.held = max(0.0, event.load.get("in_hand", task.held))
         task.good_probes = task.good_probes + 1 if ok else 0
         task.unlisted = task.unlisted and not ok  # the list says that it is gone; it answers
         if not task.out and not (task.slow and event.outcome != "error"):
@@ -325,17 +323,17 @@
 
     def admit(self, tries, failures, latency):
         """How much work to let in; acts only where the whole fleet is short, and least worth goes first."""
-        if self.terms.level_kind != "fraction":
-            return
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
-        late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > 0.1
+        late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > NO_TRIES
         pressure = self.busy() / FULL
+        held = statistics.median([t.held for t in self.mine] or [0.0])
         if late:
-            pressure = max(pressure * JAMMED, 1.0)  # and no opening before that
-        self.let_in_part(min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0))
-
-    def let_in_part(self, part):
-        self.let_in, cut = part, 1 - part
+            # Never more while late. Calls that pile up though cores idle wait for something shared.
+            pressure = max(pressure * JAMMED, held / self.held / PILED, 1.0)
+        else:
+            self.held += BETA * (max(held, 1.0) - self.held)
+        self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
+        cut = 1 - self.let_in
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
         every = sum(work.values())
         # The work of a route is not told; its SLO time stands for it.
