Usual failing is told by the lines that stand; cold lines go as calls or probes fail

The median counted tasks heard of before they left the table: 0.12 told, 0.8 true, so a jam was taken for calm. And where proxies meet tasks too seldom to avoid them the cold lines stayed at 0.6 whatever failed: 4.3 to 5.3 times what they could do. Now only lines that stand are counted, and that floor sinks to nothing by the time half of the calls or probes fail.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -89,17 +89,15 @@
     def __init__(self, terms, seed):
         self.terms = terms
         self.uniform = random.Random(seed).uniform
-        self.tasks, self.lines, self.proxies = {}, {}, {}
-        self.laid = {}  # present state of the table: task -> weight
+        self.tasks, self.lines, self.left_at, self.proxies = {}, {}, {}, {}
+        self.laid, self.withdrawn = {}, {}  # present state: task -> weight; what is shut out
         self.admitted, self.notes = {}, []  # present state of the levels; lines for the log
         self.due, self.serial, self.beat_at, self.watch_fails = [], 0, 0, 0
         self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, -SECOND
         # When the last push of each took effect (0: not yet); the mark it waits for, by proxies' calls.
         self.mark, self.effect, self.awaited = 0, {"weights": 0, "levels": 0}, {}
-        self.withdrawn, self.left_at = {}, {}  # present state of what is shut out; when tasks left
         self.sums_at, self.since, self.pending, self.covered = 0, 0, [], {}
-        self.let_in, self.levels, self.calls_heard = 1.0, {}, {}
-        self.held = 1.0  # calls in hand at the median task while answers are in time
+        self.let_in, self.held, self.levels, self.calls_heard = 1.0, 1.0, {}, {}  # held: usually in hand
         self.size, self.cut = 0.0, False  # mean listed size at the start, a share of 1; no further tries
         self.round = terms.report_period  # time in which reports tell of all: capped lines take turns
         self.fleet, self.mine = 1, []  # most tasks ever ready at once; those that this instance orders
@@ -253,9 +251,9 @@
         return statistics.median([t.answers for t in self.ready() if t.answers and t.kind == kind] or [0])
 
     def usual_failing(self):
-        """The median: a few bad tasks leave it near zero, an overload does not."""
-        lately = self.sums_at - HEARD * self.round
-        return statistics.median([t.failing for t in self.ready() if t.heard_at > lately] or [0.0])
+        """The median of the lines that stand: a few bad tasks leave it near zero, an overload does not."""
+        lately, stand = self.sums_at - HEARD * self.round, [self.tasks[k] for k in self.laid]
+        return statistics.median([t.failing for t in stand if t.heard_at > lately] or [0.0])
 
     def heard_probe(self, now, event):
         task = self.tasks.get(event.task)
@@ -389,7 +387,9 @@
         # A cold task gets its ramp's part of an even share at most, few as the warm are. While most fail
         # calls come again, and proxies that avoid tasks would crowd it: there it waits.
         calm = self.calm() if full else 1.0
-        calm = max(calm, COLD_CALM) if self.spread_thin(mine) else calm**2 if calm > COLD_CALM else 0.0
+        calm = calm**2 if calm > COLD_CALM else 0.0
+        if self.spread_thin(mine):
+            calm = max(calm, COLD_CALM * (1 - 2 * max(self.usual_failing(), self.probes_failing())))
         even = self.fleet * len(mine) / max(len(ready), 1)
         ramp = {t.id: calm * self.ramp(now, t) / even for t in tasks if not t.warm(now)}
         taken = sum(ramp.values())
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -363,3 +363,13 @@
     play.sums, play.load = {t: (20, 15, 1900) for t in "abcd"}, {"busy": 0.2, "in_hand": 36.0}
     play.run(4)
     play.matches("piled")
+
+
+def test_tasks_heard_of_before_they_left_do_not_hide_a_jam():
+    names = [f"t{n:02}" for n in range(36)]
+    play = Play(tasks=names, proxies=8, total=8, queue_limit=160.0, assigners=2)
+    play.run(3)
+    play.hear(*(gp.ProxyLeft(p) for p in range(4)))
+    play.sums = {t: (20, 12, 300) for t in names[:18]}
+    play.run(2)
+    assert len(play.brain.laid) == 18 and play.brain.usual_failing() > 0.3
