Admission opens by 1.4 a report; parts turn with the rank also where proxies are homed

After a jam admission doubled with each report, eightfold in 12 s, before the reports could tell; and the parts of three assigners, each own zone first, took the same tasks beyond it, so a cold one had three parts.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -46,7 +46,7 @@
 FULL = 0.8  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
 TIGHT = 0.88  # share of busy cores from which a fleet has no calm to spare for cold tasks and outs
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
-LET_IN_DOWN, LET_IN_UP = 0.4, 2.0  # most that admission moves at once: a jam must be left quickly
+LET_IN_DOWN, LET_IN_UP = 0.4, 1.4  # most that admission moves at once: a jam must be left quickly, and not come again
 PILED = 3.0  # times the usual calls in hand: more than swings of traffic bring
 JAMMED = 1.3  # times the pressure while answers come late: what waits has to be worked off too
 NO_TRIES = 0.1  # share of failures at the median task from which nothing is tried again
@@ -283,8 +283,6 @@
         gp.RouteSums: heard_route, gp.TimerDue: lambda *_: None,
     }
 
-    # What is decided.
-
     def probe(self, now, task, orders):
         if self.tasks.get(task.id) is task and self.lines[task.id].state == "ready":
             orders += [gp.Probe(task.id)] if task in self.mine else []
@@ -404,10 +402,11 @@
         it, size = self.terms, max(len(self.proxies) / self.terms.proxies, 1 / self.terms.assigners)
         if it.proxies / it.assigners * (self.fleet + it.head_lines) <= it.queue_limit or size >= 1:
             return ready
-        homed = it.homed and it.assigners >= it.zones
-        ready = sorted(ready, key=lambda t: (homed and t.zone != it.zone, t.id))
-        first = 0 if homed else round(len(ready) * it.rank / it.assigners)
-        mine = (ready[first:] + ready[:first])[:math.ceil(len(ready) * size)]
+        ready, first = sorted(ready, key=lambda t: t.id), round(len(ready) * it.rank / it.assigners)
+        ready = ready[first:] + ready[:first]
+        if it.homed and it.assigners >= it.zones:
+            ready.sort(key=lambda t: t.zone != it.zone)
+        mine = ready[:math.ceil(len(ready) * size)]
         return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
     def spread_thin(self, ready):
