--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -30,6 +30,7 @@
 COLD_ALONE = 0.3  # of the fleet's work: with no warm task, cold ones that can do less would fall over
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
 COLD_CALM = 0.6  # least calm for a cold line: however light, it gets all that proxies keep from others
+UNEVEN = 1.25  # times an even part of the proxies from which an assigner orders more of the fleet
 THIN = 20  # s: a proxy that takes longer for the failures that make it avoid a task avoids few
 COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
@@ -52,10 +53,9 @@
 NO_TRIES = 0.1  # share of failures at the median task from which nothing is tried again
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
-HOLD, HOLD_MOST = 3, 24  # rounds of reports out at first, doubled for each relapse
+HOLD, HOLD_MOST, HEARD = 3, 24, 3  # rounds of reports: out at first, doubled up to; sums still tell
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
 TRIAL = 0.25  # of the average: most that a task carries from its return until the test clears it
-HEARD = 3  # rounds of reports: how long a task's last sums say something of the fleet
 MANY = 0.25  # of the tasks: more than one trouble strikes, so failing together is overload
 BACKOFF = 3_000  # 0.3 s: first wait before subscribing again, doubled and spread
 
@@ -399,14 +399,14 @@
 
     def part(self, now, ready):
         """Where all tasks for all proxies overrun the channel, each assigner orders its part of the fleet."""
-        it, size = self.terms, max(len(self.proxies) / self.terms.proxies, 1 / self.terms.assigners)
-        if it.proxies / it.assigners * (self.fleet + it.head_lines) <= it.queue_limit or size >= 1:
+        it, even, size = self.terms, 1 / self.terms.assigners, len(self.proxies) / self.terms.proxies
+        if it.proxies * even * (self.fleet + it.head_lines) <= it.queue_limit or max(size, even) >= 1:
             return ready
         ready, first = sorted(ready, key=lambda t: t.id), round(len(ready) * it.rank / it.assigners)
         ready = ready[first:] + ready[:first]
         if it.homed and it.assigners >= it.zones:
             ready.sort(key=lambda t: t.zone != it.zone)
-        mine = ready[:math.ceil(len(ready) * size)]
+        mine = ready[:math.ceil(len(ready) * (size if size > UNEVEN * even else even))]
         return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
     def spread_thin(self, ready):
