Calls in hand that pile up end calm before late sums tell

Calls in hand at the median task over three times their usual number now lower calm, for the outs and the cold budget. Meets also io waits and stalls of all tasks; may hurt: a traffic burst on an idle fleet keeps cold tasks out for a moment.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -227,6 +227,8 @@
                 since = [a + b for a, b in zip(since, sums, strict=True)]
         for name, sums in heard.items():
             self.learn(now, self.tasks[name], *sums)
+        if self.usual_failing() < NO_TRIES:
+            self.held *= 1 + BETA * (max(self.piled() * PILED, 1 / self.held) - 1)
         if since[0] and self.terms.level_kind == "fraction":
             self.admit(*since)
         self.pending = []
@@ -264,7 +266,7 @@
         task.good_probes = task.good_probes + 1 if ok else 0
         task.unlisted = task.unlisted and not ok  # the list says that it is gone; it answers
         if not task.out and not (task.slow and event.outcome != "error"):
-            self.weigh(task, int(not ok), int(ok), self.probes_failing())
+            self.weigh(task, int(not ok), int(ok), self.silent())
         task.probe_failed = not ok
 
     def weigh(self, task, failures, good, usual):
@@ -322,12 +324,9 @@
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
         late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > NO_TRIES
         pressure = self.busy() / FULL
-        held = statistics.median([t.held for t in self.mine] or [0.0])
         if late:
             # Never more while late. Calls that pile up though cores idle wait for something shared.
-            pressure = max(pressure * JAMMED, held / self.held / PILED, 1.0)
-        else:
-            self.held += BETA * (max(held, 1.0) - self.held)
+            pressure = max(pressure * JAMMED, self.piled(), 1.0)
         self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
         cut = 1 - self.let_in
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
@@ -361,17 +360,19 @@
 
     def calm(self):
         """1 while few tasks fail, 0 once most fail a third of their calls or many their probes: overload."""
-        waiting = 3 * (self.probes_failing() - MANY)
+        waiting = max(3 * (self.silent() - MANY), self.piled() - 1)
         tight = (self.busy() - TIGHT) / (1 - TIGHT)
         return min(max(0.0, 1 - max(3 * self.usual_failing(), waiting, tight)), 1.0)
 
-    def probes_failing(self):
-        probed = [t.probe_failed for t in self.ready() if not t.out]
-        return statistics.fmean(probed) if probed else 0.0
+    def piled(self):
+        """Calls in hand over three times their usual number: probes tell of a jam before late sums do."""
+        return statistics.median([t.held for t in self.mine] or [0.0]) / self.held / PILED
+
+    def silent(self):
+        return statistics.fmean([t.probe_failed for t in self.ready() if not t.out] or [0.0])
 
     def busy(self):
-        busy = [t.busy for t in self.ready() if t.busy and not t.out]
-        return statistics.fmean(busy) if busy else 0.0
+        return statistics.fmean([t.busy for t in self.ready() if t.busy and not t.out] or [0.0])
 
     def wanted(self, now):
         """The lines that should stand: task -> weight, the average share being 1."""
@@ -387,7 +388,7 @@
         calm = self.calm() if full else 1.0
         calm = calm**2 if calm > COLD_CALM else 0.0
         if self.spread_thin(mine):
-            calm = max(calm, COLD_CALM * (1 - 2 * max(self.usual_failing(), self.probes_failing())))
+            calm = max(calm, COLD_CALM * (1 - 2 * max(self.usual_failing(), self.silent(), self.piled() - 1)))
         even = self.fleet * len(mine) / max(len(ready), 1)
         ramp = {t.id: calm * self.ramp(now, t) / even for t in tasks if not t.warm(now)}
         taken = sum(ramp.values())
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -373,3 +373,14 @@
     play.sums = {t: (20, 12, 300) for t in names[:18]}
     play.run(2)
     assert len(play.brain.laid) == 18 and play.brain.usual_failing() > 0.3
+
+
+def test_calls_in_hand_end_calm_before_late_sums_tell():
+    play = Play()
+    play.load = {"in_hand": 2.0}
+    play.run(4)
+    play.hear(changes(line("e", started=4)))
+    play.run(4)
+    assert "e" in play.brain.laid
+    play.hear(*(gp.ProbeAnswered(t, 5_000, "ok", {"in_hand": 30.0}) for t in "abcde"))
+    assert "e" not in play.brain.laid
