Cold lines grow only after all warm changes of a push

A push had room for part of its lines; cold ones went while warm ones still waited, and 16 cold lines got 44 of 100 calls beside four warm ones. Cold lines now grow last.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -11,7 +11,6 @@
 import math
 import random
 import statistics
-from collections import deque
 
 from garnetpaddle import interface as gp
 
@@ -82,7 +81,7 @@
 
 class Proxy:
     def __init__(self, joined):
-        self.rate, self.bound, self.messages = max(0.1, joined.rate), False, deque(maxlen=99)
+        self.rate, self.bound, self.messages = max(0.1, joined.rate), False, []
 
 
 class Brain:
@@ -434,12 +433,13 @@
                 task, ready = self.tasks[k], self.lines[k].state == "ready"
                 changes.append((ready * (1 if task.out or not task.warm(now) else 2), -laid[k], k, 0.0))
         for k, weight in lines.items():
-            if k not in laid:
+            # Cold lines shrink soon and grow last: while warm ones are missing, they get more calls.
+            old, warm = laid.get(k, 0.0), self.tasks[k].warm(now)
+            if not old and (warm or bare):
                 changes.append((int(not bare), -weight, k, weight))
-            elif abs(weight - laid[k]) > MOVED * laid[k]:
-                # Cold lines shrink soon: with warm ones gone, the same weight brings them more calls.
-                soon = weight < laid[k] and not self.tasks[k].warm(now)
-                changes.append((1 if soon else 2, -abs(weight - laid[k]), k, weight))
+            elif abs(weight - old) > MOVED * old:
+                urgency = 1 if weight < old and not warm else 2
+                changes.append((urgency, -abs(weight - old) * (warm or weight < old), k, weight))
         changes.sort()
         joining = [p for p, proxy in self.proxies.items() if not proxy.bound]
         joining.sort(key=lambda p: -self.proxies[p].rate)
@@ -527,5 +527,5 @@
         self.queue += len(proxies) * cost
         self.written += len(proxies) * cost
         for proxy in proxies:
-            proxy.messages.append(now)
+            proxy.messages = [*proxy.messages[-98:], now]
         return cost
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -384,3 +384,12 @@
     assert "e" in play.brain.laid
     play.hear(*(gp.ProbeAnswered(t, 5_000, "ok", {"in_hand": 30.0}) for t in "abcde"))
     assert "e" not in play.brain.laid
+
+
+def test_cold_lines_grow_only_after_all_warm_changes_fit():
+    play = Play(tasks="abcdefgh", proxies=10, queue_limit=200.0, channel_lines=150.0)
+    play.run(2)
+    play.hear(changes(line("i", started=1.9)))
+    play.sums |= {t: (30, 0, 50) for t in "abcd"}
+    play.run(8)
+    play.matches("cold_last")
