--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -43,6 +43,7 @@
         (LIST | {"form": "whim"}, "form"),
         (LIST | {"bank": 9}, "bank"),
         ({"msg": "LOST_STREAM", "i": "x/0"}, "forwarder"),
+        (BOOT | {"conf": CONF | {"specifics": CONF["specifics"] | {"ranges": 9}}}, "specifics.ranges"),
     ],
 )
 def test_malformed_input_names_line_and_field(bad, named, capsys):
