Settings and task entries move to boot; the brain hears of orders nothing confirmed

OrdersLost puts what its orders would have changed in doubt, and the one diff sends what still differs. Probe carries how long an answer may take.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -43,8 +43,7 @@
 TRUST = 2.0  # most evidence a good past may save up against new failures
 UNLISTED = 3.0  # evidence in a list that drops a task without a drain: two failures then do
 BAD = 0.5  # share of failures of a bad task; more where many calls fail everywhere, as in an overload
-FULL = 0.8  # share of busy cores at which a fleet counts as full: beyond, waits grow without end
-TIGHT = 0.88  # share of busy cores from which a fleet has no calm to spare for cold tasks and outs
+FULL, TIGHT = 0.8, 0.88  # share of busy cores: beyond it waits grow without end; no calm is left for outs
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 1.4  # most that admission moves at once: out of a jam quickly, and not back
 PILED = 3.0  # times the usual calls in hand: more than swings of traffic bring
@@ -53,6 +52,7 @@
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 HOLD, HOLD_MOST, HEARD = 3, 24, 3  # rounds of reports: out at first, doubled up to; sums still tell
+PROBE_WAIT = 0.5  # of the shortest SLO time: a task that takes as long for a probe answers calls late
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
 TRIAL = 0.25  # of the average: most that a task carries from its return until the test clears it
 MANY = 0.25  # of the tasks: more than one trouble strikes, so failing together is overload
@@ -80,22 +80,22 @@
 
 
 class Proxy:
-    def __init__(self, joined):
-        self.rate, self.bound, self.messages = max(0.1, joined.rate), False, []
+    def __init__(self, joined, messages):
+        self.rate, self.bound, self.messages = max(0.1, joined.rate), False, messages
 
 
 class Brain:
     def __init__(self, terms, seed):
-        self.terms = terms
+        self.terms, self.probe_wait = terms, int(PROBE_WAIT * min(r.slo_time for r in terms.routes))
         self.uniform = random.Random(seed).uniform
         self.tasks, self.lines, self.left_at, self.proxies = {}, {}, {}, {}
-        self.laid, self.withdrawn = {}, {}  # present state: task -> weight; what is shut out
-        self.admitted, self.notes = {}, []  # present state of the levels; lines for the log
-        self.due, self.serial, self.beat_at, self.watch_fails = [], 0, 0, 0
+        self.laid, self.withdrawn = {}, {}  # present: weights, 0 in doubt; what is shut out, False in doubt
+        self.admitted, self.notes, self.pending, self.covered = {}, [], [], {}  # admitted: the present levels
+        self.due, self.serial = [(0, 0, Brain.watch, None)] * (terms.list_mode == "ask"), 0
         self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, -SECOND
         # When the last push of each took effect (0: not yet); the mark it waits for, by proxies' calls.
         self.mark, self.effect, self.awaited = 0, {"weights": 0, "levels": 0}, {}
-        self.sums_at, self.since, self.pending, self.covered = 0, 0, [], {}
+        self.beat_at = self.watch_fails = self.sums_at = self.since = 0
         self.let_in, self.held, self.levels, self.calls_heard = 1.0, 1.0, {}, {}  # held: usually in hand
         self.size, self.cut = 0.0, False  # mean listed size at the start, a share of 1; no further tries
         self.round = terms.report_period  # time in which reports tell of all: capped lines take turns
@@ -103,8 +103,6 @@
 
     def handle(self, now, events):
         orders = []
-        if not self.beat_at and self.terms.list_mode == "ask":
-            self.watch(now, None, orders)
         for event in events:
             self.READ[type(event)](self, now, event)
         while self.due and self.due[0][0] <= now:
@@ -129,8 +127,7 @@
             # Spread and doubled: assigners cut off together must not ask together.
             wait = BACKOFF * 2 ** min(self.watch_fails, 5) * self.uniform(0.7, 1.3)
             self.watch_fails += 1
-            self.later(now + int(min(wait, self.terms.must_ask_in / 2)), Brain.watch)
-            return
+            return self.later(now + int(min(wait, self.terms.must_ask_in / 2)), Brain.watch)
         self.watch_fails *= event.form == "stale"
         if event.form != "changes":
             named = {line.task for line in event.lines}
@@ -138,7 +135,7 @@
                 if line.task not in named and line.state != "gone":
                     self.take_line(now, dataclasses.replace(line, state="gone", started_at=0))
         sizes = [line.size for line in event.lines if line.state == "ready"]
-        self.size = self.size or (statistics.fmean(sizes) if sizes else 0.0)
+        self.size = self.size or statistics.fmean(sizes or [0.0])
         for line in event.lines:
             self.take_line(now, line)
 
@@ -170,7 +167,7 @@
             self.since, self.covered, self.pending = now, {}, []
             # Standing tables are drawn by chance from the list: on average they are the first shares.
             self.effect, self.awaited = {"weights": now, "levels": now}, {}
-        self.proxies[event.proxy] = Proxy(event)
+        self.proxies[event.proxy] = Proxy(event, getattr(self.proxies.get(event.proxy), "messages", []))
 
     def heard_leave(self, now, event):
         self.proxies.pop(event.proxy, None)
@@ -184,6 +181,21 @@
             self.queue = max(0.0, min(self.queue, self.written - reply[0]))
         self.settle(now, event.proxy, event.mark)
 
+    def heard_lost(self, now, event):
+        """Orders that nothing confirmed are neither done nor undone: what still differs goes out anew."""
+        for order in event.orders:
+            match order:
+                case gp.SetLine(task=k):
+                    self.laid[k] = 0.0
+                case gp.Withdraw(task=k):
+                    self.withdrawn[k] = False
+                case gp.Bind(proxy=p) if p in self.proxies:
+                    self.proxies[p].bound = False
+                case gp.Admit():
+                    self.admitted = {}
+                case gp.Seal(mark=mark) if mark in self.sent and not event.perhaps:
+                    self.queue = max(0.0, self.queue - self.sent.pop(mark)[2])
+
     def settle(self, now, proxy, upto):
         """A push has taken effect once all but a tenth of the calls go by it."""
         for what, (mark, waiting) in list(self.awaited.items()):
@@ -211,10 +223,9 @@
         heard, since = {}, [0, 0, 0.0]
         for event in self.pending:
             task, good = self.tasks.get(event.task), event.tries - event.failures
-            if not task or min(event.span, event.tries) <= 0 or until - event.span < task.ramp_from:
-                continue  # nothing, or of the task's life before its restart
-            if good < 0 or good and not 0 < event.latency < math.inf:
-                continue  # a reading that makes no sense counts as unheard
+            if not task or min(event.span, event.tries) <= 0 or until - event.span < task.ramp_from or (
+                    good < 0 or good and not 0 < event.latency < math.inf):
+                continue  # nothing, or of the task's life before its restart, or it makes no sense
             sums = event.tries, event.failures, good * event.latency
             heard[event.task] = [a + b for a, b in zip(heard.get(event.task, (0, 0, 0.0)), sums, strict=True)]
             task.busy = max(0.0, event.load.get("busy", task.busy))
@@ -243,13 +254,12 @@
         if good:
             task.answers = (task.answers or latency / good) / 2 + latency / good / 2
             task.good_at = now
-        lately = now - task.good_at < HEARD * self.round
-        task.slow = lately and task.answers > 2 * self.usual_latency(task.kind)
+        task.slow = now - task.good_at < HEARD * self.round and task.answers > 2 * self.usual_latency(task)
         if not task.slow:
             self.weigh(task, failures, good, self.usual_failing())
 
-    def usual_latency(self, kind):
-        return statistics.median([t.answers for t in self.ready() if t.answers and t.kind == kind] or [0])
+    def usual_latency(self, of):
+        return statistics.median([t.answers for t in self.ready() if t.answers and t.kind == of.kind] or [0])
 
     def usual_failing(self):
         """The median of the lines that stand: a few bad tasks leave it near zero, an overload does not."""
@@ -281,12 +291,12 @@
     READ = {
         gp.ListHeard: heard_list, gp.ProxyJoined: heard_join, gp.ProxyLeft: heard_leave,
         gp.Applied: heard_applied, gp.TaskSums: heard_sums, gp.ProbeAnswered: heard_probe,
-        gp.RouteSums: heard_route, gp.TimerDue: lambda *_: None,
+        gp.RouteSums: heard_route, gp.TimerDue: lambda *_: None, gp.OrdersLost: heard_lost,
     }
 
     def probe(self, now, task, orders):
         if self.tasks.get(task.id) is task and self.lines[task.id].state == "ready":
-            orders += [gp.Probe(task.id)] if task in self.mine else []
+            orders += [gp.Probe(task.id, self.probe_wait)] if task in self.mine else []
             every = PROBE_SOON if task.out or task.doubt > SURE / 3 else PROBE_EVERY
             self.later(now + every, Brain.probe, task)
 
@@ -307,13 +317,11 @@
             latest = (t.tries + FEW) / (t.spent() + FEW * alike[t.kind]) / t.share**RATE
             t.headroom = BETA * latest + (1 - BETA) * t.headroom if t.headroom else latest
             t.forget()
-        total = sum(t.share for t in tasks)
-        average = sum(t.share * t.headroom for t in tasks) / total
+        average = sum(t.share * t.headroom for t in tasks) / sum(t.share for t in tasks)
         for t in tasks:
             moved = min(max(t.headroom / average, 1 / STEP_DOWN), STEP_UP)
-            t.share *= moved
             # The reading was of the old share: kept as it was, it would move the new one once more.
-            t.headroom /= moved
+            t.share, t.headroom = t.share * moved, t.headroom / moved
         scale = len(tasks) / sum(t.share for t in tasks)
         for t in tasks:
             t.share = max(t.share * scale, FLOOR)
@@ -327,9 +335,8 @@
             # Never more while late. Calls that pile up though cores idle wait for something shared.
             pressure = max(pressure * JAMMED, self.piled(), 1.0)
         self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
-        cut = 1 - self.let_in
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
-        every = sum(work.values())
+        cut, every = 1 - self.let_in, sum(work.values())
         # The work of a route is not told; its SLO time stands for it.
         for k in sorted(work, key=lambda k: self.terms.routes[k].importance / self.terms.routes[k].slo_time):
             part = min(cut * every / work[k], 1 - LEAST)
@@ -391,11 +398,10 @@
         even = self.fleet * len(mine) / max(len(ready), 1)
         ramp = {t.id: calm * self.ramp(now, t) / even for t in tasks if not t.warm(now)}
         taken = sum(ramp.values())
-        if not full and taken < COLD_ALONE:
-            ramp = {}
+        ramp = ramp if full or taken >= COLD_ALONE else {}
         total = sum(full.values()) / (1 - min(taken, 0.9)) if full else even
-        full |= {k: part * total for k, part in ramp.items()}
-        return {k: weight for k, weight in full.items() if weight >= LEAST_WEIGHT}
+        full |= {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
+        return full
 
     def part(self, now, ready):
         """Where all tasks for all proxies overrun the channel, each assigner orders its part of the fleet."""
@@ -426,7 +432,7 @@
         self.queue = max(0.0, self.queue - (now - self.queue_at) / SECOND * self.terms.channel_lines / 2)
         self.queue_at = now
         limit, lines, laid, changes = self.terms.queue_limit, self.wanted(now), self.laid, []
-        bare = not any(k in lines for k in laid)
+        bare = not any(weight and k in lines for k, weight in laid.items())
         for k in laid:
             # A list that shrank to nothing: where being dropped does not bind, the last table stands.
             if k not in lines and (lines or self.terms.gone_binds or self.lines[k].state == "draining"):
@@ -441,27 +447,24 @@
                 urgency = 1 if weight < old and not warm else 2
                 changes.append((urgency, -abs(weight - old) * (warm or weight < old), k, weight))
         changes.sort()
-        joining = [p for p, proxy in self.proxies.items() if not proxy.bound]
-        joining.sort(key=lambda p: -self.proxies[p].rate)
+        joining = [p for _, p in sorted((-x.rate, p) for p, x in self.proxies.items() if not x.bound)]
         bound = [proxy for proxy in self.proxies.values() if proxy.bound]
         start, least = self.written, limit
         fit = self.fits(now, changes, bound)
         for _, _, k, weight in changes[:fit]:
-            if weight and self.withdrawn.pop(k, False):
+            if weight and self.withdrawn.pop(k, None) is not None:
                 orders.append(gp.Withdraw(k, False))
                 self.write(now, 0, joining)
             orders.append(gp.SetLine(TABLE, k, round(weight, 3)))
-            laid[k] = weight
-            if not weight:
-                del laid[k]
+            laid.pop(k, None)
+            laid |= {k: weight} if weight else {}
         self.pushed_at = now if fit and bound else self.pushed_at
         # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
         self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
         tries = "none" if self.cut else "on proof"
         levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
         moved = [k for k in levels if levels[k] != self.admitted.get(k)]
-        if not fit and not self.fits(now, [(1,)] * len(moved), bound):
-            moved = []
+        moved = moved if fit or self.fits(now, [(1,)] * len(moved), bound) else []
         news = bool(moved and (self.admitted or self.let_in < 1))
         for level in sorted({levels[k] for k in moved}):
             routes = tuple(k for k in moved if levels[k] == level)
@@ -472,8 +475,7 @@
         if fit or moved:
             least = self.write(now, fit + len(moved), bound)
         # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
-        lines = len(laid) + len(levels) + 1
-        reached = self.proxies if fit or moved else joining[:]
+        lines, reached = len(laid) + len(levels) + 1, self.proxies if fit or moved else joining[:]
         while joining and self.queue + lines + self.terms.head_lines + 1 <= JOINS * limit:
             p = joining.pop(0)
             orders.append(gp.Bind(p, TABLE))
@@ -483,7 +485,7 @@
         if self.written > start:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
-            self.sent[self.mark] = [start, least]
+            self.sent[self.mark] = [start, least, self.written - start]
             self.sent.pop((self.mark - 64) % 65_536, None)
         waiting = {p: self.proxies[p].rate for p in reached}
         if news:
@@ -497,7 +499,7 @@
         for k, at in self.left_at.items() if waiting else ():
             state = self.lines[k].state
             binds = state == "draining" or state == "gone" and self.terms.gone_binds
-            if binds and k not in self.withdrawn and now - at < HELD:
+            if binds and not self.withdrawn.get(k) and now - at < HELD:
                 orders.append(gp.Withdraw(k, True))
                 self.withdrawn[k] = True
                 self.write(now, 0, waiting)
@@ -519,8 +521,7 @@
 
     def capped(self, now, urgency, bound):
         cap, since = self.terms.message_cap, now - self.terms.message_span - SECOND
-        return bool(cap) and any(
-            sum(at > since for at in proxy.messages) >= CAPPED[urgency] * cap - 1 for proxy in bound)
+        return cap and any(sum(at > since for at in p.messages) >= CAPPED[urgency] * cap - 1 for p in bound)
 
     def write(self, now, lines, proxies):
         cost = lines + self.terms.head_lines + 1
--- a/garnetpaddle/interface/__init__.py
+++ b/garnetpaddle/interface/__init__.py
@@ -4,6 +4,7 @@
     Applied,
     Event,
     ListHeard,
+    OrdersLost,
     ProbeAnswered,
     ProxyJoined,
     ProxyLeft,
@@ -27,7 +28,7 @@
 from garnetpaddle.interface.terms import Route, Terms
 
 __all__ = [
-    "Admit", "Applied", "Bind", "Event", "ListHeard", "Note", "Order", "Probe", "ProbeAnswered",
+    "Admit", "Applied", "Bind", "Event", "ListHeard", "Note", "Order", "OrdersLost", "Probe", "ProbeAnswered",
     "ProxyJoined", "ProxyLeft", "Route", "RouteSums", "Seal", "SetLine",
     "TaskLine", "TaskSums", "Terms", "Timer", "TimerDue", "Watch", "Withdraw",
 ]
--- a/garnetpaddle/interface/events.py
+++ b/garnetpaddle/interface/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from garnetpaddle.interface.orders import Order
+
 
 @dataclass(frozen=True, slots=True)
 class TaskLine:
@@ -79,6 +81,14 @@
     elapsed: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrdersLost:
+    """Orders that were given and that no answer has confirmed."""
+
+    orders: tuple[Order, ...]
+    perhaps: bool  # they may have been carried out all the same; else surely not
+
+
 Event = (
     ListHeard
     | TimerDue
@@ -88,4 +98,5 @@
     | TaskSums
     | RouteSums
     | Applied
+    | OrdersLost
 )
--- a/garnetpaddle/interface/orders.py
+++ b/garnetpaddle/interface/orders.py
@@ -49,6 +49,7 @@
 @dataclass(frozen=True, slots=True)
 class Probe:
     task: str
+    wait: int  # no answer by then is a timeout
 
 
 @dataclass(frozen=True, slots=True)
--- a/garnetpaddle/wirehost/host.py
+++ b/garnetpaddle/wirehost/host.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from garnetpaddle.boot import terms
 from garnetpaddle.brain import Brain
 from garnetpaddle.wirehost import translate, wire
 
@@ -13,7 +14,7 @@
     """One instance: its decisions and the names of its routes."""
 
     def __init__(self, boot):
-        self.brain = Brain(translate.terms(boot.conf), boot.rng_seed)
+        self.brain = Brain(terms(boot.conf), boot.rng_seed)
         self.routes = {c.name: k for k, c in enumerate(boot.conf.categories)}
 
 
--- a/garnetpaddle/wirehost/translate.py
+++ b/garnetpaddle/wirehost/translate.py
@@ -1,8 +1,7 @@
 """Between the wire's structures and the interface's words, and back."""
 
-import math
-
 from garnetpaddle import interface as gp
+from garnetpaddle.boot import Unknown, load, task_line, tenths, word
 from garnetpaddle.wirehost import wire
 
 STATES = {"on": "ready", "fading": "draining", "off": "gone"}
@@ -15,64 +14,10 @@
 TRIES = {"none": 0, "on proof": 1, "once": 2}
 
 
-class Unknown(ValueError):
-    """A word that has no meaning in its field."""
-
-    def __init__(self, field, value):
-        super().__init__(f"field {field}: unknown value {value!r}")
-
-
-def word(table, value, field):
-    if value not in table:
-        raise Unknown(field, value)
-    return table[value]
-
-
-def tenths(seconds):
-    return int((seconds or 0.0) * 10_000 + 0.5)
-
-
-def load(values):
-    numbers = ((LOADS[k], v) for k, v in (values or {}).items() if k in LOADS)
-    return {k: float(v) for k, v in numbers if type(v) in (int, float) and math.isfinite(v)}
-
-
-def terms(conf):
-    it, rules = conf.specifics, conf.contract
-    if it.ranges:
-        raise Unknown("specifics.ranges", it.ranges)  # no site has slices yet: none are steered
-    return gp.Terms(
-        routes=tuple(gp.Route(c.gain, tenths(c.promise)) for c in conf.categories),
-        list_mode=conf.discovery,
-        must_ask_in=tenths(rules.must_ask_in),
-        probes_allowed=conf.ceilings.probes,
-        warm_after=tenths(rules.cold),
-        start_share=rules.start_capacity,
-        fall_multiple=rules.fall_multiple,
-        gone_binds=not rules.dropped_stay_open,
-        report_period=tenths(it.report_every),
-        channel_lines=it.egress_per_s,
-        queue_limit=it.queue_cap,
-        head_lines=it.head,
-        message_cap=it.pushes_allowed,
-        message_span=tenths(it.counted_over),
-        level_kind=it.level_kind,
-        strikes=it.strikes,
-        proxies=max(it.agents, 1),
-        assigners=max(conf.balancers, 1),
-        rank=conf.rank,
-        zone=conf.my_zone,
-        zones=max(len(conf.azs), 1),
-        homed=it.homed_by_zone,
-    )
-
-
 def entries(rows):
     return tuple(
-        gp.TaskLine(
-            r.task, r.az or "", r.pod or 0, word(STATES, r.status, "elements.status"),
-            r.size if r.size and r.size > 0 else 1.0, tenths(r.started_at), r.machine or "",
-        )
+        task_line(r.task, r.az, r.pod, word(STATES, r.status, "elements.status"), r.size,
+                  tenths(r.started_at), r.machine)
         for r in rows
     )
 
@@ -89,7 +34,7 @@
             return gp.TimerDue(m.key_back)
         case wire.Probed():
             outcome = OUTCOMES.get(m.verdict, "other")
-            return gp.ProbeAnswered(m.task, tenths(m.cost_time), outcome, load(m.usage))
+            return gp.ProbeAnswered(m.task, tenths(m.cost_time), outcome, load(m.usage, LOADS))
         case wire.Connected():
             return gp.ProxyJoined(m.forwarder, m.size or 0.0, bool(m.flag), m.az or "")
         case wire.LostStream():
@@ -97,7 +42,7 @@
         case wire.TrafficReport():
             latency = (m.cost_time or 0.0) * 10_000
             return gp.TaskSums(
-                m.task, m.az or "", m.tries_n, m.unanswered, latency, tenths(m.span), load(m.usage)
+                m.task, m.az or "", m.tries_n, m.unanswered, latency, tenths(m.span), load(m.usage, LOADS)
             )
         case wire.Demand():
             return gp.RouteSums(
--- a/garnetpaddle/wirehost/wire.py
+++ b/garnetpaddle/wirehost/wire.py
@@ -1,7 +1,9 @@
-"""The wire's messages and settings as typed structures, under the wire's own names."""
+"""The wire's messages as typed structures, under the wire's own names."""
 
 import msgspec
 
+from garnetpaddle.boot import Told
+
 Load = dict[str, object]
 
 
@@ -36,53 +38,9 @@
     elements: list[Entry]
 
 
-class Category(msgspec.Struct):
-    promise: float
-    name: str
-    gain: float = 1.0
-
-
-class Ceilings(msgspec.Struct):
-    probes: bool = False
-
-
-class Contract(msgspec.Struct):
-    start_capacity: float
-    fall_multiple: float
-    cold: float
-    must_ask_in: float = 10.0
-    dropped_stay_open: bool = False
-
-
-class Specifics(msgspec.Struct):
-    egress_per_s: float
-    queue_cap: float
-    report_every: float
-    head: float = 6.0
-    counted_over: float = 10.0
-    pushes_allowed: int = 0
-    level_kind: str = "none"
-    ranges: int = 0
-    strikes: int = 0
-    agents: int = 1
-    homed_by_zone: bool = False
-
-
-class Conf(msgspec.Struct):
-    categories: list[Category]
-    ceilings: Ceilings
-    contract: Contract
-    specifics: Specifics
-    discovery: str
-    balancers: int = 1
-    rank: int = 0
-    my_zone: str = ""
-    azs: list[str] = []
-
-
 class Boot(ForInstance, tag="BOOT"):
     rng_seed: int
-    conf: Conf
+    conf: Told
 
 
 class PowerOff(ForInstance, tag="POWER_OFF"):
