--- /dev/null
+++ b/garnetpaddle/net/calls.py
@@ -0,0 +1,92 @@
+"""The one lane of relay calls: a reply's orders in their sequence, each result told to the brain."""
+
+import asyncio
+import collections
+import itertools
+
+import structlog
+
+from garnetpaddle import interface as gp
+from garnetpaddle.net import http, orders
+
+ANSWER_WAIT = 0.25  # s: the protocol's 50 ms, and what a busy machine may add
+DIAL_WAIT = 0.5  # s
+IDLE_MOST = 1.0  # s: an older connection may be closing just now, and a call on it would be in doubt
+PAUSES = (0.05, 0.1, 0.2, 0.4)  # s before the brain is told of a call that failed, longer as they add up
+log = structlog.get_logger()
+
+
+class Lane:
+    def __init__(self, address, lanes, marks, hear):
+        self.address, self.lanes, self.marks, self.hear = address, lanes, marks, hear
+        self.waiting, self.wake, self.link = collections.deque(), asyncio.Event(), None
+        self.failures, self.said = 0, None
+
+    def put(self, reply):
+        self.waiting.append(reply)
+        self.wake.set()
+
+    async def run(self):
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.waiting:
+                await self.carry(self.waiting.popleft())
+
+    async def carry(self, reply):
+        """Calls for one reply. What fails is told, with all that waits behind it: it goes no further."""
+        left = orders.parts(reply, self.lanes, self.marks)
+        begun = False
+        while left:
+            part = left.pop(0)
+            result = await self.attempt(part)
+            if isinstance(result, orders.Taken):
+                begun, self.failures = True, 0
+                self.state(None)
+                if result.count < len(part):
+                    log.warning("order_refused", order=part[result.count][1])
+                    rest = part[result.count + 1:]
+                    left = [rest, *left] if rest else left
+                continue
+            perhaps = isinstance(result, http.Perhaps)
+            self.state(result.why, perhaps)
+            await asyncio.sleep(PAUSES[min(self.failures, len(PAUSES) - 1)])
+            self.failures += 1
+            self.lose(part, perhaps or begun)
+            rest = list(itertools.chain.from_iterable(left))
+            self.lose(rest, begun or perhaps)
+            while self.waiting:
+                self.hear(gp.OrdersLost(tuple(self.waiting.popleft()), False))
+            return
+
+    def lose(self, part, perhaps):
+        if part:
+            self.hear(gp.OrdersLost(tuple(order for order, _ in part), perhaps))
+
+    def state(self, why, perhaps=False):
+        if why != self.said:
+            self.said = why
+            if why:
+                log.warning("orders_lost", why=why, perhaps=perhaps)
+            else:
+                log.info("orders_flow")
+
+    async def attempt(self, part):
+        """Taken, Refused, NotSent or Perhaps."""
+        body = orders.form(part)
+        for _ in range(2):  # a kept connection may turn out closed before a byte is written
+            if self.link and (not self.link.usable() or self.link.idle() > IDLE_MOST):
+                self.link.close()
+                self.link = None
+            if not self.link:
+                self.link = await http.dial(self.address, DIAL_WAIT)
+                if isinstance(self.link, http.NotSent):
+                    result, self.link = self.link, None
+                    return result
+            result = await self.link.call(
+                "POST", "/v1/", ANSWER_WAIT, body, "application/x-www-form-urlencoded")
+            if not isinstance(result, http.NotSent):
+                break
+        if isinstance(result, http.Answered):
+            return orders.answer(result.status, result.body) or http.Perhaps("unreadable answer")
+        return result
--- /dev/null
+++ b/garnetpaddle/net/configuration.py
@@ -0,0 +1,94 @@
+"""What this assigner is told by its environment: read once, checked, decoded."""
+
+import math
+
+import msgspec
+
+from garnetpaddle import boot
+from garnetpaddle.net.rows import Rows, task_lines
+
+VARIABLES = {"ROUTER_NAME": "name", "ROUTER_LISTEN": "listen", "ROUTER_DISCOVERY": "discovery"}
+
+
+class Limits(msgspec.Struct):
+    sockets: int = 1024
+
+
+class Store(msgspec.Struct):
+    address: str
+
+
+class Given(msgspec.Struct):
+    """The file that ROUTER_CONFIG names; `settings` is what the simulator's first message carries."""
+
+    name: str
+    listen: str
+    discovery: str
+    seed: str
+    store: Store
+    known: Rows
+    settings: boot.Told
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+class Wrong(ValueError):
+    """What is wrong with the configuration, naming the field."""
+
+
+def address(text, field):
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65_535:
+        raise Wrong(f"field {field}: {text!r} is no host:port")
+    return host.strip("[]"), int(port)
+
+
+def read(path, variables):
+    """The checked configuration at a path; raises Wrong."""
+    try:
+        with open(path, "rb") as file:
+            given = msgspec.json.decode(file.read(), type=Given)
+    except OSError as error:
+        raise Wrong(f"ROUTER_CONFIG: {path!r}: {error.strerror}") from None
+    except msgspec.DecodeError as error:
+        raise Wrong(f"ROUTER_CONFIG: {error}") from None
+    for variable, field in VARIABLES.items():
+        said = variables.get(variable, getattr(given, field))
+        if said != getattr(given, field):
+            raise Wrong(f"{variable}: {said!r} is not the file's {field}, {getattr(given, field)!r}")
+    try:
+        check(given)
+    except Wrong:
+        raise
+    except ValueError as error:
+        raise Wrong(str(error)) from None
+    return given
+
+
+def check(given):
+    seed(given)
+    for field in ("listen", "discovery"):
+        address(getattr(given, field), field)
+    address(given.store.address, "store.address")
+    task_lines(given.known)
+    it, rules = given.settings.specifics, given.settings.contract
+    above = {
+        "settings.specifics.egress_per_s": it.egress_per_s, "settings.specifics.queue_cap": it.queue_cap,
+        "settings.specifics.report_every": it.report_every, "settings.contract.cold": rules.cold,
+        "settings.contract.fall_multiple": rules.fall_multiple, "limits.sockets": given.limits.sockets,
+        "settings.contract.start_capacity": rules.start_capacity,
+    } | {f"settings.categories[{k}].promise": c.promise for k, c in enumerate(given.settings.categories)}
+    for field, value in above.items():
+        if not 0 < value < math.inf:
+            raise Wrong(f"field {field}: {value!r} is not above 0")
+    if not given.settings.categories:
+        raise Wrong("field settings.categories: empty")
+    if given.settings.discovery not in ("push", "ask"):
+        raise Wrong(f"field settings.discovery: unknown value {given.settings.discovery!r}")
+    boot.terms(given.settings)
+
+
+def seed(given):
+    try:
+        return int(given.seed, 16)
+    except ValueError:
+        raise Wrong(f"field seed: {given.seed!r} is not hexadecimal") from None
--- /dev/null
+++ b/garnetpaddle/net/discovery.py
@@ -0,0 +1,96 @@
+"""The watch on the list of tasks, and where they listen."""
+
+import asyncio
+
+import msgspec
+import structlog
+
+from garnetpaddle import interface as gp
+from garnetpaddle.net import http
+from garnetpaddle.net.configuration import Wrong, address
+from garnetpaddle.net.rows import Rows, task_lines
+
+PATH = "/discovery/hosts"
+WATCH_MS = 1_000  # a watch's wait: a silent agent is noticed soon, and calls cost the agent nothing
+ANSWER_WAIT = 0.5  # s beyond the watch's wait
+DIAL_WAIT = 0.5  # s
+PAUSES = (0.0, 0.05, 0.1, 0.2, 0.4)  # s before a failed call is made again
+log = structlog.get_logger()
+
+
+class Places:
+    """The latest address of each task."""
+
+    def __init__(self):
+        self.at = {}
+
+    def learn(self, rows):
+        for row in rows.instances:
+            try:
+                self.at[row.instanceId] = address(row.hostPort, "hostPort")
+            except Wrong as error:
+                if row.lifecycle != "left":
+                    log.warning("address_unreadable", task=row.instanceId, why=str(error))
+
+
+class Discovery:
+    """Follows the list by itself, or where it must be asked for: from each Watch order until a failure."""
+
+    def __init__(self, at, places, hear, must_ask):
+        self.address, self.places, self.hear, self.must_ask = at, places, hear, must_ask
+        self.since, self.link, self.failures, self.owed = None, None, 0, False
+        self.asked = asyncio.Event()
+
+    def ask(self):
+        self.owed = True
+        self.asked.set()
+
+    async def run(self):
+        while True:
+            if self.must_ask:
+                await self.asked.wait()
+            why = await self.turn()
+            if why is None:
+                if self.failures:
+                    log.info("discovery_back")
+                self.failures = 0
+                continue
+            if not self.failures:
+                log.warning("discovery_lost", why=why)
+            self.failures += 1
+            if self.must_ask:
+                self.asked.clear()
+                self.owed = False
+                self.hear(gp.ListHeard("lost", ()))
+            else:
+                await asyncio.sleep(PAUSES[min(self.failures - 1, len(PAUSES) - 1)])
+
+    async def turn(self):
+        """One call; None, or why it failed."""
+        if not self.link or not self.link.usable():
+            self.link = await http.dial(self.address, DIAL_WAIT)
+            if isinstance(self.link, http.NotSent):
+                result, self.link = self.link, None
+                return result.why
+        first = self.since is None
+        target = PATH if first else f"{PATH}?since={self.since}&timeout_ms={WATCH_MS}"
+        result = await self.link.call("GET", target, ANSWER_WAIT + (0 if first else WATCH_MS / 1_000))
+        if not isinstance(result, http.Answered):
+            return result.why
+        if result.status != 200:
+            return f"answered {result.status}"
+        return self.take(result.body)
+
+    def take(self, body):
+        try:
+            rows = msgspec.json.decode(body, type=Rows)
+            told = task_lines(rows)
+        except ValueError as error:
+            self.since = None
+            return f"unreadable list: {error!s:.80}"
+        self.since = rows.generation
+        self.places.learn(rows)
+        if told or rows.reset or self.owed:
+            self.owed = False
+            self.hear(gp.ListHeard("full" if rows.reset else "changes", told))
+        return None
--- /dev/null
+++ b/garnetpaddle/net/orders.py
@@ -0,0 +1,94 @@
+"""The relay's calls: orders as a form, its XML answers, and the marks of this life."""
+
+import collections
+import xml.etree.ElementTree as xml
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from garnetpaddle import interface as gp
+
+TRIES = {"none": 0, "on proof": 1, "once": 2}
+CALL_MOST = 60_000  # bytes of orders in a call
+MARKS = 65_536  # marks are whole numbers below it
+KEPT = 4_096  # of our marks that an answer may still come to
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The whole call was sent back."""
+
+    why: str
+
+
+class Marks:
+    """Marks on the wire start anywhere, so that answers to a former life's are told from this one's."""
+
+    def __init__(self, seed):
+        self.start, self.given = seed % MARKS, collections.deque(maxlen=KEPT)
+
+    def out(self, mark):
+        mark = (mark + self.start) % MARKS
+        self.given.append(mark)
+        return mark
+
+    def back(self, event):
+        """An Applied in the brain's numbers; None where its mark is of a former life."""
+        if event.mark not in self.given:
+            return None
+        return gp.Applied(event.proxy, (event.mark - self.start) % MARKS, event.elapsed)
+
+
+def text(order, lanes, marks):
+    match order:
+        case gp.SetLine():
+            return f"put,{order.table},{order.task},{order.weight!r}"
+        case gp.Bind():
+            return f"attach,{order.proxy},{order.table},*"
+        case gp.Withdraw():
+            return f"{'eject' if order.out else 'uneject'},{order.task}"
+        case gp.Admit():
+            named = "*" if len(order.routes) == len(lanes) else "+".join(lanes[k] for k in order.routes)
+            return f"gate,{order.table},{named},{order.level!r},{TRIES[order.tries]}"
+        case gp.Seal():
+            return f"fence,{marks.out(order.mark)},{int(order.all_proxies)}"
+    raise TypeError(f"no relay's form for {order!r}")
+
+
+def parts(orders, lanes, marks, most=CALL_MOST):
+    """A reply's calls, as lists of (order, text); one, unless it is too long for that."""
+    calls, size = [[]], 0
+    for order in orders:
+        said = text(order, lanes, marks)
+        cost = len(quote(said, safe="")) + len("%3B")
+        if calls[-1] and size + cost > most:
+            calls.append([])
+            size = 0
+        calls[-1].append((order, said))
+        size += cost
+    if len(calls) > 1 and isinstance(calls[-1][-1][0], gp.Seal):
+        # A call's fence reaches whom the call reaches: at the end of several it must reach all.
+        order, said = calls[-1][-1]
+        calls[-1][-1] = order, said[:-1] + "1"
+    return calls
+
+
+def form(part):
+    return b"Action=ApplyOrders&changes=" + quote(";".join(said for _, said in part), safe="").encode()
+
+
+def answer(status, body):
+    """Taken, Refused, or None where it can't be read."""
+    try:
+        root = xml.fromstring(bytes(body))
+        taken = root.find(".//taken")
+        if status == 200 and taken is not None:
+            return Taken(max(0, int(taken.text)))
+    except (xml.ParseError, ValueError, TypeError):
+        return None
+    said = " ".join(word.strip() for word in root.itertext() if word.strip())
+    return Refused(said[:80]) if status >= 400 or said else None
