A gap of the news puts all orders in doubt: the table is laid anew, then bound

Ruled out: the lane (it sent what it was given) and the roll (joins were right). At fault: nothing told the brain that the table may be gone (news.follow). Covers any relay that begins anew; costs lines only where the table had stood, as nobody is bound at that moment.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -35,8 +35,7 @@
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
 ROOM = (0.97, 0.5, 0.5)  # of the queue limit: most that may wait after such a push
-IDLE = 0.3  # of the queue limit: weights wait for less to wait, so they take half the channel at most
-JOINS = 0.6  # of the queue limit: most that may wait after a joining proxy's table; the rest is for drains
+IDLE, JOINS = 0.3, 0.6  # of the queue limit: weights start below; most after joins, the rest is for drains
 HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
@@ -196,6 +195,12 @@
                 case gp.Seal(mark=mark) if mark in self.sent and not event.perhaps:
                     self.queue = max(0.0, self.queue - self.sent.pop(mark)[2])
 
+    def heard_doubt(self, now, event):
+        self.laid, self.admitted = dict.fromkeys(self.laid, 0.0), {}
+        self.withdrawn = dict.fromkeys(self.withdrawn, False)
+        for proxy in self.proxies.values():
+            proxy.bound = False
+
     def settle(self, now, proxy, upto):
         """A push has taken effect once all but a tenth of the calls go by it."""
         for what, (mark, waiting) in list(self.awaited.items()):
@@ -290,8 +295,9 @@
 
     READ = {
         gp.ListHeard: heard_list, gp.ProxyJoined: heard_join, gp.ProxyLeft: heard_leave,
-        gp.Applied: heard_applied, gp.TaskSums: heard_sums, gp.ProbeAnswered: heard_probe,
-        gp.RouteSums: heard_route, gp.TimerDue: lambda *_: None, gp.OrdersLost: heard_lost,
+        gp.Applied: heard_applied, gp.OrdersLost: heard_lost, gp.OrdersInDoubt: heard_doubt,
+        gp.TaskSums: heard_sums, gp.RouteSums: heard_route, gp.ProbeAnswered: heard_probe,
+        gp.TimerDue: lambda *_: None,
     }
 
     def probe(self, now, task, orders):
@@ -359,16 +365,14 @@
         for t in sorted(ready, key=lambda t: -t.doubt):
             if not t.out and t.doubt >= SURE and (t.unlisted or gone + t.share <= most):
                 gone += t.share * (not t.unlisted)
-                t.out, t.good_probes = True, 0
                 t.hold = now + int(min(HOLD * 2 ** t.holds, HOLD_MOST) * self.round)
-                t.holds += 1
+                t.out, t.good_probes, t.holds = True, 0, t.holds + 1
                 self.notes.append(f"{t.id} is taken out: it fails calls that others answer")
 
     def calm(self):
         """1 while few tasks fail, 0 once most fail a third of their calls or many their probes: overload."""
-        waiting = max(3 * (self.silent() - MANY), self.piled() - 1)
-        tight = (self.busy() - TIGHT) / (1 - TIGHT)
-        return min(max(0.0, 1 - max(3 * self.usual_failing(), waiting, tight)), 1.0)
+        jam = max(3 * (self.silent() - MANY), self.piled() - 1, (self.busy() - TIGHT) / (1 - TIGHT))
+        return min(max(0.0, 1 - max(3 * self.usual_failing(), jam)), 1.0)
 
     def piled(self):
         """Calls in hand over three times their usual number: probes tell of a jam before late sums do."""
@@ -400,8 +404,7 @@
         taken = sum(ramp.values())
         ramp = ramp if full or taken >= COLD_ALONE else {}
         total = sum(full.values()) / (1 - min(taken, 0.9)) if full else even
-        full |= {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
-        return full
+        return full | {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
 
     def part(self, now, ready):
         """Where all tasks for all proxies overrun the channel, each assigner orders its part of the fleet."""
@@ -421,11 +424,10 @@
         return not self.terms.strikes or self.terms.strikes / max(each, 0.001) > THIN
 
     def ramp(self, now, task):
-        age, start = now - task.ramp_from, self.terms.start_share
+        age, start, fall = now - task.ramp_from, self.terms.start_share, self.terms.fall_multiple
         if age < COLD_WAIT * self.terms.report_period:
             return 0.0
-        bears = self.terms.fall_multiple * (start + (1 - start) * min(age / task.ramp_for, 1))
-        return min(task.share, COLD_PART * bears)
+        return min(task.share, COLD_PART * (fall * (start + (1 - start) * min(age / task.ramp_for, 1))))
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
@@ -525,8 +527,7 @@
 
     def write(self, now, lines, proxies):
         cost = lines + self.terms.head_lines + 1
-        self.queue += len(proxies) * cost
-        self.written += len(proxies) * cost
+        self.queue, self.written = self.queue + len(proxies) * cost, self.written + len(proxies) * cost
         for proxy in proxies:
             proxy.messages = [*proxy.messages[-98:], now]
         return cost
--- a/garnetpaddle/interface/__init__.py
+++ b/garnetpaddle/interface/__init__.py
@@ -4,6 +4,7 @@
     Applied,
     Event,
     ListHeard,
+    OrdersInDoubt,
     OrdersLost,
     ProbeAnswered,
     ProxyJoined,
@@ -28,7 +29,7 @@
 from garnetpaddle.interface.terms import Route, Terms
 
 __all__ = [
-    "Admit", "Applied", "Bind", "Event", "ListHeard", "Note", "Order", "OrdersLost", "Probe", "ProbeAnswered",
-    "ProxyJoined", "ProxyLeft", "Route", "RouteSums", "Seal", "SetLine",
+    "Admit", "Applied", "Bind", "Event", "ListHeard", "Note", "Order", "OrdersInDoubt", "OrdersLost",
+    "Probe", "ProbeAnswered", "ProxyJoined", "ProxyLeft", "Route", "RouteSums", "Seal", "SetLine",
     "TaskLine", "TaskSums", "Terms", "Timer", "TimerDue", "Watch", "Withdraw",
 ]
--- a/garnetpaddle/interface/events.py
+++ b/garnetpaddle/interface/events.py
@@ -89,6 +89,11 @@
     perhaps: bool  # they may have been carried out all the same; else surely not
 
 
+@dataclass(frozen=True, slots=True)
+class OrdersInDoubt:
+    """What carries the orders may have lost all that it was ever given; who is joined is told anew."""
+
+
 Event = (
     ListHeard
     | TimerDue
@@ -99,4 +104,5 @@
     | RouteSums
     | Applied
     | OrdersLost
+    | OrdersInDoubt
 )
--- a/garnetpaddle/net/log.py
+++ b/garnetpaddle/net/log.py
@@ -33,7 +33,8 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False),
         ],
         cache_logger_on_first_use=True,
     )
--- a/garnetpaddle/net/news.py
+++ b/garnetpaddle/net/news.py
@@ -73,7 +73,7 @@
 class News:
     def __init__(self, address, marks, hear):
         self.address, self.marks, self.hear = address, marks, hear
-        self.roll, self.failures = Roll(), 0
+        self.roll, self.failures, self.opened = Roll(), 0, False
 
     async def run(self):
         while True:
@@ -93,7 +93,10 @@
             head = await http.within(SILENT, link.head())
             if head is None or head.status_code != 200:
                 return f"answered {head.status_code}" if head else "connection closed"
-            log.info("news_open", gap=bool(self.roll.joined))
+            log.info("news_open", gap=self.opened)
+            if self.opened:  # the relay may have begun anew meanwhile
+                self.hear(gp.OrdersInDoubt())
+            self.opened = True
             self.roll.opened()
             return await self.listen(link, Stream())
         except (OSError, h11.ProtocolError, TimeoutError) as error:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -431,3 +431,11 @@
     play.hear(gp.OrdersLost((gp.Admit(1, (0, 1, 2), 1.0, "on proof"),), True))
     play.run(1)
     play.matches("lost_levels")
+
+
+def test_all_orders_in_doubt_lay_the_table_and_bind_anew_in_one_reply():
+    play = Play(level_kind="fraction")
+    play.run(2)
+    play.hear(gp.OrdersInDoubt(), gp.ProxyJoined(1, 20.0, True, "z"), gp.ProxyLeft(0))
+    play.say(f"reckoned to wait: {play.brain.queue:.0f} lines")
+    play.matches("in_doubt")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -144,7 +144,7 @@
         script = ["break", http("", "503 Away"), [*NEWS, *both, b"0\r\n\r\n"], [*NEWS, *one]]
         async with StandIn(*script) as relay:
             running = asyncio.create_task(news.News(relay.address, marks, told.append).run())
-            await until(lambda: len(told) == 5)
+            await until(lambda: len(told) == 6)
             running.cancel()
 
     asyncio.run(play())
