A task let back while proxies wait for their table no longer ends the brain

At fault: emit gave write the proxies' numbers instead of the proxies.

Also: a probe or call answered by something that is no HTTP is told as unreadable, not as a reset.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -456,7 +456,7 @@
         for _, _, k, weight in changes[:fit]:
             if weight and self.withdrawn.pop(k, None) is not None:
                 orders.append(gp.Withdraw(k, False))
-                self.write(now, 0, joining)
+                self.write(now, 0, [self.proxies[p] for p in joining])
             orders.append(gp.SetLine(TABLE, k, round(weight, 3)))
             laid.pop(k, None)
             laid |= {k: weight} if weight else {}
--- a/garnetpaddle/net/http.py
+++ b/garnetpaddle/net/http.py
@@ -31,9 +31,14 @@
     body: bytearray
 
 
-def reason(error):
+SILENCE, CLOSED, UNREADABLE = "silence", "connection closed", "unreadable answer"
+
+
+def reason(error, ended=False):
     if isinstance(error, TimeoutError):
-        return "silence"
+        return SILENCE
+    if isinstance(error, h11.ProtocolError):
+        return CLOSED if ended else UNREADABLE
     return getattr(error, "strerror", None) or str(error) or type(error).__name__
 
 
@@ -87,13 +92,13 @@
     async def call(self, method, target, wait, body=b"", kind=None):
         """One call and its whole answer: NotSent, Perhaps or Answered."""
         if not self.usable():
-            return NotSent("connection closed")
+            return NotSent(CLOSED)
         result = None
         try:
             self.write(method, target, body, kind)
             result = await within(wait, self.answer())
         except (OSError, h11.ProtocolError, TimeoutError) as error:
-            result = Perhaps(reason(error))
+            result = Perhaps(reason(error, self.reader.at_eof()))
         finally:
             if not isinstance(result, Answered) or not self.renew():
                 self.close()
@@ -102,7 +107,7 @@
     async def answer(self):
         response = await self.head()
         if response is None:
-            return Perhaps("connection closed")
+            return Perhaps(CLOSED)
         body = bytearray()
         while (piece := await self.piece()) is not None:
             body += piece
--- a/garnetpaddle/net/news.py
+++ b/garnetpaddle/net/news.py
@@ -92,7 +92,7 @@
             link.write("GET", "/v1/events")
             head = await http.within(SILENT, link.head())
             if head is None or head.status_code != 200:
-                return f"answered {head.status_code}" if head else "connection closed"
+                return f"answered {head.status_code}" if head else http.CLOSED
             log.info("news_open", gap=self.opened)
             if self.opened:  # the relay may have begun anew meanwhile
                 self.hear(gp.OrdersInDoubt())
@@ -100,7 +100,7 @@
             self.roll.opened()
             return await self.listen(link, Stream())
         except (OSError, h11.ProtocolError, TimeoutError) as error:
-            return http.reason(error)
+            return http.reason(error, link.reader.at_eof())
         finally:
             link.close()
 
--- a/garnetpaddle/net/probes.py
+++ b/garnetpaddle/net/probes.py
@@ -45,7 +45,7 @@
         link, until = self.links.pop(at, None), time.monotonic() + wait
         if link:
             result = await link.call("GET", self.path, wait)
-            if isinstance(result, http.Answered) or result.why == "silence":
+            if isinstance(result, http.Answered) or result.why != http.CLOSED:
                 return self.outcome(result, link, at)
         link = await http.dial(at, max(0.001, until - time.monotonic()))
         if isinstance(link, http.NotSent):
@@ -61,7 +61,7 @@
 
     def outcome(self, result, link, at):
         if not isinstance(result, http.Answered):
-            return {"silence": "timeout"}.get(result.why, "reset"), {}
+            return {http.SILENCE: "timeout", http.UNREADABLE: "other"}.get(result.why, "reset"), {}
         if not link.usable() or at in self.links:
             link.close()
         else:
