A shut-out in doubt is ordered anew only where it fits the queue

Checked: the reckoned queue stood far over its limit, for shut_out wrote every task in doubt again to all waiting proxies at each failed call, past any bound. At fault: shut_out. The first shut-out of a task stays unbounded, as a drain must be.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -499,9 +499,9 @@
     def shut_out(self, now, waiting, orders):
         """Proxies that wait for their table may hold lines of tasks that left: these are shut out."""
         for k, at in self.left_at.items() if waiting else ():
-            state = self.lines[k].state
-            binds = state == "draining" or state == "gone" and self.terms.gone_binds
-            if binds and not self.withdrawn.get(k) and now - at < HELD:
+            binds = self.lines[k].state in ("draining", "gone" if self.terms.gone_binds else "draining")
+            out, spare = self.withdrawn.get(k), ROOM[0] * self.terms.queue_limit - self.queue
+            if binds and now - at < HELD and (out is None or not out and spare > 0):  # in doubt: if it fits
                 orders.append(gp.Withdraw(k, True))
                 self.withdrawn[k] = True
                 self.write(now, 0, waiting)
