Strangers' lines are held to 4 KiB; a collector's line is a report or nothing

Found on reading: 512 strangers with a MiB each of an unfinished line would pass the memory limit, and a collector could have told of proxies, which is the news' part.

--- a/garnetpaddle/net/listener.py
+++ b/garnetpaddle/net/listener.py
@@ -4,10 +4,12 @@
 
 import structlog
 
+from garnetpaddle import interface as gp
 from garnetpaddle.net import lines
 from garnetpaddle.net.frames import WIRE, Frames
 
 LINE_MOST = 1 << 20  # bytes: the protocol's longest message
+STRANGER_MOST = 4 << 10  # bytes: before `telemetry` only short lines mean anything, and strangers may be many
 UNREAD_MOST = 64 << 10  # bytes of our answers that a peer may leave unread before it is dropped
 CHUNK = 64 << 10  # bytes read at once
 log = structlog.get_logger()
@@ -47,11 +49,12 @@
             writer.transport.abort()
 
     async def read(self, number, peer, reader):
-        frames = Frames(WIRE, LINE_MOST)
+        frames = Frames(WIRE, STRANGER_MOST)
         while chunk := await reader.read(CHUNK):
             peer.heard = self.serial
             for line in frames.cut(chunk):
                 self.take(number, peer, line)
+                frames.most = STRANGER_MOST if peer.zone is None else LINE_MOST
             if frames.over or peer.writer.transport.get_write_buffer_size() > UNREAD_MOST:
                 log.warning("peer_dropped", why="line too long" if frames.over else "answers left unread")
                 return
@@ -70,10 +73,10 @@
             case lines.Unreadable(why):
                 if line:
                     log.warning("line_unreadable", why=why)
-            case event if peer.zone is not None:
+            case gp.TaskSums() | gp.RouteSums() as event if peer.zone is not None:
                 self.hear(event)
             case _:
-                log.warning("line_unreadable", why="a report before telemetry")
+                log.warning("line_unreadable", why="no report, or one before telemetry")
 
     def make_room(self, number):
         """Beyond the room, the stranger that was silent longest goes; collectors stay."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -197,7 +197,8 @@
 
 
 def test_heartbeats_and_collectors_among_strangers(monkeypatch):
-    monkeypatch.setattr(listener, "LINE_MOST", 1_000)
+    monkeypatch.setattr(listener, "STRANGER_MOST", 100)
+    monkeypatch.setattr(listener, "LINE_MOST", 100_000)
     told = []
 
     async def play():
@@ -211,7 +212,10 @@
         assert await first[0].readexactly(14) == b"hb_ok\r\nhb_ok\r\n"
         first[1].write(STATS[9:])
         await until(lambda: len(told) == 1)
-        second[1].write(STATS + b"telemetry site=a\r\n" + STATS)  # the first line is a stranger's
+        # The first line is a stranger's, the third no collector's, the fourth longer than a stranger's may be.
+        second[1].write(STATS + b"telemetry site=a\r\ndetach id=1\r\n" + b"x" * 50_000)
+        await second[1].drain()
+        second[1].write(b"\r\n" + STATS)
         await until(lambda: len(told) == 2)
         assert await first[0].read() == b""  # the collector that came again takes its place
         long[1].write(b"x" * 2_000)
