--- a/garnetpaddle/net/discovery.py
+++ b/garnetpaddle/net/discovery.py
@@ -28,13 +28,13 @@
         if rows.reset:
             self.at = {}
         for row in rows.instances:
-            if row.lifecycle == "left":
-                self.at.pop(row.instanceId, None)
+            if row.state == "left":
+                self.at.pop(row.task, None)
                 continue
             try:
-                self.at[row.instanceId] = address(row.hostPort, "hostPort")
+                self.at[row.task] = address(row.address, "hostPort")
             except Wrong as error:
-                log.warning("address_unreadable", task=row.instanceId, why=str(error))
+                log.warning("address_unreadable", task=row.task, why=str(error))
 
 
 class Discovery:
--- a/garnetpaddle/net/news.py
+++ b/garnetpaddle/net/news.py
@@ -23,6 +23,10 @@
 
     def __init__(self):
         self.frames, self.kind, self.data, self.first = Frames(EVENTS, LINE_MOST), "message", [], True
+        self.size = 0  # of the data of an event that no blank line has ended yet
+
+    def over(self):
+        return self.frames.over or self.size > LINE_MOST
 
     def take(self, chunk):
         for line in self.frames.cut(chunk):
@@ -32,7 +36,7 @@
             if not text:
                 if self.data:
                     yield self.kind, dict(parse_qsl("\n".join(self.data), keep_blank_values=True))
-                self.kind, self.data = "message", []
+                self.kind, self.data, self.size = "message", [], 0
             elif text.startswith(":"):
                 yield "", {}
             else:
@@ -42,6 +46,7 @@
                     self.kind = value
                 elif field == "data":
                     self.data.append(value)
+                    self.size += len(line)
 
 
 class Roll:
@@ -118,8 +123,8 @@
                         self.hear(event)
                 else:
                     self.take(kind, words)
-            if stream.frames.over:
-                return "line too long"
+            if stream.over():
+                return "event too long"
 
     def take(self, kind, words):
         try:
--- a/garnetpaddle/net/rows.py
+++ b/garnetpaddle/net/rows.py
@@ -7,15 +7,19 @@
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 
 
-class Row(msgspec.Struct):
-    instanceId: str  # noqa: N815
-    lifecycle: str
-    hostPort: str = ""  # noqa: N815
+WIRE = {"task": "instanceId", "state": "lifecycle", "address": "hostPort", "kind": "machineType",
+        "size": "weight", "started_ms": "startedAtMs"}
+
+
+class Row(msgspec.Struct, rename=WIRE):
+    task: str
+    state: str
+    address: str = ""
     zone: str | None = None
-    machineType: str | None = None  # noqa: N815
+    kind: str | None = None
     cell: int | None = None
-    weight: float | None = None
-    startedAtMs: float | None = None  # noqa: N815
+    size: float | None = None
+    started_ms: float | None = None
 
 
 class Rows(msgspec.Struct):
@@ -27,7 +31,7 @@
 def task_lines(rows):
     """Task lines; a word that has no meaning raises ValueError."""
     return tuple(
-        boot.task_line(r.instanceId, r.zone, r.cell, boot.word(STATES, r.lifecycle, "instances.lifecycle"),
-                       r.weight, round((r.startedAtMs or 0.0) * 10), r.machineType)
+        boot.task_line(r.task, r.zone, r.cell, boot.word(STATES, r.state, "instances.lifecycle"), r.size,
+                       round((r.started_ms or 0.0) * 10), r.kind)
         for r in rows.instances
     )
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 
 import pytest
@@ -151,6 +152,13 @@
     matches("news_gap", list(map(shown, told)))
 
 
+def test_an_event_that_never_ends_ends_the_stream(monkeypatch):
+    monkeypatch.setattr(news, "LINE_MOST", 100)
+    stream = news.Stream()
+    assert list(stream.take(b"data: id=1&site=a\n" * 3)) == [] and not stream.over()
+    assert list(stream.take(b"data: id=1&site=a\n" * 9)) == [] and stream.over()
+
+
 def test_silent_news_are_opened_anew(monkeypatch):
     monkeypatch.setattr(news, "SILENT", HASTY)
 
@@ -303,6 +311,23 @@
     assert asyncio.run(play()) == b"answer"
 
 
+BROKEN = """
+import sys
+from garnetpaddle.net import configuration, serve
+class Brain:
+    def __init__(self, terms, seed): pass
+    def handle(self, now, events): raise KeyError("lost its head")
+serve.Brain = Brain
+sys.exit(serve.main(configuration.read(sys.argv[1], {})))
+"""
+
+
+def test_a_fault_in_the_brain_ends_the_program_loudly(tmp_path):
+    ended = subprocess.run([sys.executable, "-c", BROKEN, written(tmp_path)], capture_output=True, text=True)
+    assert ended.returncode == 1
+    assert "event=brain_failed" in ended.stdout and "lost its head" in ended.stdout
+
+
 def test_a_term_signal_ends_the_program_at_once(tmp_path):
     path = written(tmp_path)
 
