A mean told of no good answers can no longer make weights of nothing

Seen: random events by hand (1,200 runs of 400 batches) gave a line the weight nan in 22 of the first 150. Checked: always after sums with failures only and a mean that is no number; net's codec passes none on, a later one might. At fault: gather multiplied no answers by it.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -231,13 +231,13 @@
             if not task or min(event.span, event.tries) <= 0 or until - event.span < task.ramp_from or (
                     good < 0 or good and not 0 < event.latency < math.inf):
                 continue  # nothing, or of the task's life before its restart, or it makes no sense
-            sums = event.tries, event.failures, good * event.latency
+            sums = event.tries, event.failures, good and good * event.latency  # none good: whatever it says
             heard[event.task] = [a + b for a, b in zip(heard.get(event.task, (0, 0, 0.0)), sums, strict=True)]
             task.busy = max(0.0, event.load.get("busy", task.busy))
             task.held = max(0.0, event.load.get("in_hand", task.held))
             if 0 < self.effect["weights"] <= until - event.span:
                 task.tries, task.failures = task.tries + event.tries, task.failures + event.failures
-                task.latency += good * event.latency
+                task.latency += sums[2]
             if 0 < self.effect["levels"] <= until - event.span / 2:
                 since = [a + b for a, b in zip(since, sums, strict=True)]
         for name, sums in heard.items():
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -34,6 +34,16 @@
     play.matches("unheard")
 
 
+def test_a_mean_of_no_answers_says_nothing():
+    traces = []
+    for mean in (0.0, math.nan):
+        play = Play()
+        play.sums["a"] = (2, 2, mean)
+        play.run(9)
+        traces.append(play.trace)
+    assert traces[0] == traces[1] and len(traces[0]) > 2
+
+
 def test_draining_and_gone_tasks_leave_at_once_and_return_cold():
     play = Play()
     play.run(1)
