--- a/garnetpaddle/net/calls.py
+++ b/garnetpaddle/net/calls.py
@@ -50,7 +50,7 @@
                 begun, self.failures = True, 0
                 self.state(None)
                 if result.count < len(part):
-                    log.warning("order_refused", order=part[result.count][1])
+                    log.warning("order_not_taken", order=part[result.count][1])
                     rest = part[result.count + 1:]
                     left = [orders.to_all(rest), *left] if rest else left
                 continue
@@ -75,13 +75,13 @@
         match result:
             case None:
                 log.info("orders_flow")
-            case orders.Refused(why):
+            case orders.SentBack(why):
                 log.warning("orders_sent_back", why=why)
             case _:
                 log.warning("orders_lost", why=result.why, perhaps=isinstance(result, http.Perhaps))
 
     async def attempt(self, part):
-        """Taken, Refused, NotSent or Perhaps."""
+        """Taken, SentBack, NotSent or Perhaps."""
         body = orders.form(part)
         for _ in range(2):  # a kept connection may turn out closed before a byte is written
             if self.link and (not self.link.usable() or self.link.idle() > IDLE_MOST):
--- a/garnetpaddle/net/orders.py
+++ b/garnetpaddle/net/orders.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class SentBack:
     """The whole call was sent back."""
 
     why: str
@@ -84,7 +84,7 @@
 
 
 def answer(status, body):
-    """Taken, Refused, or None where it can't be read."""
+    """Taken, SentBack, or None where it can't be read."""
     try:
         root = xml.fromstring(bytes(body))
         taken = root.find(".//taken")
@@ -93,4 +93,4 @@
     except (xml.ParseError, ValueError, TypeError):
         return None
     said = " ".join(word.strip() for word in root.itertext() if word.strip())
-    return Refused(said[:80]) if status >= 400 or said else None
+    return SentBack(said[:80]) if status >= 400 or said else None
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -105,9 +105,10 @@
 @pytest.mark.parametrize(("status", "body", "means"), [
     (200, "<?xml version='1.0'?><Response><entries><item><taken>2</taken></item></entries></Response>",
      orders.Taken(2)),
-    (400, "<Response><Errors><Error><Code>limit</Code></Error></Errors></Response>", orders.Refused("limit")),
+    (400, "<Response><Errors><Error><Code>limit</Code></Error></Errors></Response>",
+     orders.SentBack("limit")),
     (200, "<Response><entries><item><error>malformed</error></item></entries></Response>",
-     orders.Refused("malformed")),
+     orders.SentBack("malformed")),
     (200, "<Response><entries><item><taken>two</taken></item></entries></Response>", None),
     (200, "<Response><entries>", None),
     (200, "", None),
