SIGHUP reads the configuration anew; discovery, news and calls move without a gap

Checked: no handler is installed anywhere (serve.py took SIGTERM and SIGINT only), and no stage could change its address; a news gap would bind all proxies anew. Now: the signal is held from the first import on (__main__), net/reload.py reads the file by the same code as the start and hands addresses on; a wrong file is one log line. Discovery: the new agent takes over once its whole list is heard. News: the new stream names all beside the present one, then takes over; only what the former did not tell is told. Calls: the lane dials before it lets go. The lane is one, so the sequence stays. A relay that begins anew at the new address under unbroken streams would be missed: no such sign exists there.

--- a/garnetpaddle/__main__.py
+++ b/garnetpaddle/__main__.py
@@ -1,10 +1,16 @@
 """The command line."""
 
-import argparse
-import os
-import sys
+import signal
 
-from garnetpaddle import __version__
+early = []  # a SIGHUP that comes before there is anything to reload waits here, and ends nothing
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, lambda *_: early.append(True))
+
+import argparse  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+
+from garnetpaddle import __version__  # noqa: E402
 
 
 def main(arguments=None):
@@ -41,7 +47,7 @@
         return 0
     from garnetpaddle.net import serve
 
-    return serve.main(told, given.trace)
+    return serve.main(told, path, early, given.trace)
 
 
 if __name__ == "__main__":
--- a/garnetpaddle/net/calls.py
+++ b/garnetpaddle/net/calls.py
@@ -64,6 +64,18 @@
                 self.hear(gp.OrdersLost(tuple(self.waiting.popleft()), False))
             return
 
+    def move(self, address):
+        """From the next call on; the one under way is finished where it is."""
+        self.address = address
+
+    async def change(self):
+        """The new connection comes up before the old one is let go; until it does, the old one serves."""
+        link = await http.dial(self.address, DIAL_WAIT)
+        if not isinstance(link, http.NotSent):
+            self.link.close()
+            self.link = link
+            log.info("calls_moved")
+
     def lose(self, part, perhaps):
         if part:
             self.hear(gp.OrdersLost(tuple(order for order, _ in part), perhaps))
@@ -84,6 +96,8 @@
         """Taken, SentBack, NotSent or Perhaps."""
         body = orders.form(part)
         for _ in range(2):  # a kept connection may turn out closed before a byte is written
+            if self.link and self.link.address != self.address:
+                await self.change()
             if self.link and (not self.link.usable() or self.link.idle() > IDLE_MOST):
                 self.link.close()
                 self.link = None
--- a/garnetpaddle/net/discovery.py
+++ b/garnetpaddle/net/discovery.py
@@ -37,30 +37,101 @@
                 log.warning("address_unreadable", task=row.task, why=str(error))
 
 
+class Agent:
+    """One address of discovery: the connection to it, and how far its list has been followed."""
+
+    def __init__(self, at):
+        self.address, self.since, self.link = at, None, None
+
+    def close(self):
+        if self.link:
+            self.link.close()
+
+    async def turn(self):
+        """One call: (Rows, task lines), or why it failed."""
+        if not self.link or not self.link.usable():
+            self.close()
+            self.link = await http.dial(self.address, DIAL_WAIT)
+            if isinstance(self.link, http.NotSent):
+                result, self.link = self.link, None
+                return result.why
+        first = self.since is None
+        target = PATH if first else f"{PATH}?since={self.since}&timeout_ms={WATCH_MS}"
+        result = await self.link.call("GET", target, ANSWER_WAIT + (0 if first else WATCH_MS / 1_000))
+        if not isinstance(result, http.Answered):
+            return result.why
+        if result.status != 200:
+            return f"answered {result.status}"
+        try:
+            rows = msgspec.json.decode(result.body, type=Rows)
+            told = task_lines(rows)
+        except (ValueError, OverflowError) as error:
+            self.since = None
+            return f"unreadable list: {error!s:.80}"
+        self.since = rows.generation
+        return rows, told
+
+
 class Discovery:
     """Follows the list by itself, or where it must be asked for: from each Watch order until a failure."""
 
     def __init__(self, at, places, hear, must_ask):
-        self.address, self.places, self.hear, self.must_ask = at, places, hear, must_ask
-        self.since, self.link, self.failures, self.owed = None, None, 0, False
+        self.agent, self.places, self.hear, self.must_ask = Agent(at), places, hear, must_ask
+        self.calling, self.coming, self.moving = None, at, None
+        self.failures, self.owed = 0, False
         self.asked = asyncio.Event()
 
     def ask(self):
         self.owed = True
         self.asked.set()
 
+    def move(self, at):
+        """Another agent takes over once it has told its whole list; till then the present one serves."""
+        if at == self.coming:
+            return
+        self.coming = at
+        if self.moving:
+            self.moving.cancel()
+        self.moving = asyncio.get_running_loop().create_task(self.take_over(Agent(at)))
+
+    async def take_over(self, agent):
+        result, failures = None, 0
+        try:
+            while not isinstance(result, tuple):
+                if self.must_ask and not self.asked.is_set():
+                    break  # nothing is followed: the next order asks the new agent
+                if failures:
+                    await asyncio.sleep(PAUSES[min(failures - 1, len(PAUSES) - 1)])
+                result = await agent.turn()
+                failures += 1
+            former, self.agent, agent = self.agent, agent, None
+            former.close()
+            if self.calling:
+                self.calling.cancel()
+            log.info("discovery_moved", tries=failures)
+            if result:
+                self.take(*result)
+        finally:
+            if agent:
+                agent.close()
+
     async def run(self):
         while True:
             if self.must_ask:
                 await self.asked.wait()
-            why = await self.turn()
-            if why is None:
+            agent = self.agent
+            self.calling = asyncio.ensure_future(agent.turn())
+            await asyncio.wait({self.calling})
+            if agent is not self.agent:
+                continue
+            result = self.calling.result()
+            if isinstance(result, tuple):
                 if self.failures:
                     log.info("discovery_back")
-                self.failures = 0
+                self.take(*result)
                 continue
             if not self.failures:
-                log.warning("discovery_lost", why=why)
+                log.warning("discovery_lost", why=result)
             self.failures += 1
             if self.must_ask:
                 self.asked.clear()
@@ -69,34 +140,9 @@
             else:
                 await asyncio.sleep(PAUSES[min(self.failures - 1, len(PAUSES) - 1)])
 
-    async def turn(self):
-        """One call; None, or why it failed."""
-        if not self.link or not self.link.usable():
-            if self.link:
-                self.link.close()
-            self.link = await http.dial(self.address, DIAL_WAIT)
-            if isinstance(self.link, http.NotSent):
-                result, self.link = self.link, None
-                return result.why
-        first = self.since is None
-        target = PATH if first else f"{PATH}?since={self.since}&timeout_ms={WATCH_MS}"
-        result = await self.link.call("GET", target, ANSWER_WAIT + (0 if first else WATCH_MS / 1_000))
-        if not isinstance(result, http.Answered):
-            return result.why
-        if result.status != 200:
-            return f"answered {result.status}"
-        return self.take(result.body)
-
-    def take(self, body):
-        try:
-            rows = msgspec.json.decode(body, type=Rows)
-            told = task_lines(rows)
-        except ValueError as error:
-            self.since = None
-            return f"unreadable list: {error!s:.80}"
-        self.since = rows.generation
+    def take(self, rows, told):
+        self.failures = 0
         self.places.learn(rows)
         if told or rows.reset or self.owed:
             self.owed = False
             self.hear(gp.ListHeard("full" if rows.reset else "changes", told))
-        return None
--- a/garnetpaddle/net/http.py
+++ b/garnetpaddle/net/http.py
@@ -66,7 +66,8 @@
 
 class Connection:
     def __init__(self, reader, writer, address):
-        self.reader, self.writer, self.host = reader, writer, f"{address[0]}:{address[1]}"
+        self.reader, self.writer, self.address = reader, writer, address
+        self.host = f"{address[0]}:{address[1]}"
         self.h11, self.used_at = h11.Connection(h11.CLIENT), time.monotonic()
 
     def usable(self):
--- a/garnetpaddle/net/serve.py
+++ b/garnetpaddle/net/serve.py
@@ -18,6 +18,7 @@
 from garnetpaddle.net.orders import Marks
 from garnetpaddle.net.owner import Owner, clock
 from garnetpaddle.net.probes import Probes
+from garnetpaddle.net.reload import Reload
 from garnetpaddle.net.rows import task_lines
 
 PROBES_PART, PEERS_PART = 0.25, 0.5  # of the descriptors: probes under way, connections at our address
@@ -42,7 +43,13 @@
         await asyncio.sleep(AGAIN)
 
 
-async def run(given, trace):
+def unhandled(_, context):
+    """What no stage has caught, such as a connection that could not be taken: a log line, and no more."""
+    lines.error("loop_fault", why=context.get("message", ""), exc_info=context.get("exception"))
+
+
+async def run(given, path, early, trace):
+    loop = asyncio.get_running_loop()
     told, seed = given.settings, configuration.seed(given)
     routes = {c.name: k for k, c in enumerate(told.categories)}
     outlets, places, marks = Outlets(None, None, None), Places(), Marks(seed)
@@ -55,15 +62,25 @@
     outlets.table, outlets.probe, outlets.watch = lane.put, probes.start, watch.ask
     owner.hear(gp.ListHeard("stale", task_lines(given.known)))
 
+    def moved(relay):
+        lane.move(relay)
+        news.move(relay)
+
+    news = News(relay, marks, owner.hear)
+    reload = Reload(path, given, {"discovery": watch.move, "store.address": moved})
     stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGINT, stop.set)
+    loop.set_exception_handler(unhandled)
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.asked.set)
+    if early:
+        reload.asked.set()
     listener = Listener(owner.hear, routes, int(room * PEERS_PART))
     await listener.open(address(given.listen, "listen"))
-    news = News(relay, marks, owner.hear)
     stages = [
         asyncio.create_task(lasting(name, stage.run))
-        for name, stage in (("discovery", watch), ("news", news), ("calls", lane))
+        for name, stage in (
+            ("discovery", watch), ("news", news), ("calls", lane), ("reload", reload))
     ]
     deciding, stopping = asyncio.create_task(owner.run()), asyncio.create_task(stop.wait())
     lines.info("serving", listen=given.listen, tasks=len(given.known.instances))
@@ -76,10 +93,11 @@
     return 1
 
 
-def main(given, trace=False):
+def main(given, path, early=(), trace=False):
+    """Serves until SIGTERM; `early` says whether a SIGHUP has come already."""
     log.begin(given.name)
     try:
-        return asyncio.run(run(given, trace))
+        return asyncio.run(run(given, path, early, trace))
     except OSError as error:
         lines.error("cannot_listen", listen=given.listen, why=error.strerror or str(error))
         return 1
