--- a/garnetpaddle/net/serve.py
+++ b/garnetpaddle/net/serve.py
@@ -55,7 +55,10 @@
     known = codec.Known(
         {c.name: k for k, c in enumerate(told.categories)}, tuple(told.azs), told.specifics.agents)
     outlets, places, marks = Outlets(None, None, None), Places(), Marks(seed)
-    owner = Owner(Brain(boot.terms(told), seed), clock(), outlets, told.quantum, trace)
+    terms = boot.terms(told)
+    if trace:
+        print(f"trace 0 {terms}", flush=True)
+    owner = Owner(Brain(terms, seed), clock(), outlets, told.quantum, trace)
     relay, room = address(given.store.address, "store.address"), given.limits.sockets
     lane = Lane(relay, list(known.routes), marks, owner.hear)
     places.learn(given.known)
