The queue is believed no shorter than answers prove; sums' age and pace mended; the gone forgotten

Checked with the trace: after a gap all proxies were counted as unbound (heard_doubt), so laying 27 lines anew counted nothing, but at the relay 201 followed that table: 35 x 201 lines. And while one channel carried a tenth of its stated rate (answers took 2 to 8 s), emit went on emptying the reckoned queue by time at half that rate. Ruled out: a stalled assigner (no gap between answers), joins (none then). Now: after a doubt a table of another number is laid, which reaches nobody, and proxies are bound to it as the queue allows; binds in doubt count as followers; time alone empties the queue only after 3 s without any answer, else what answers prove. (2) every urgent push put off the weights by a second; with outs and drains coming in turn a step waited 6 s: each urgency has a pace of its own. (3) tasks, lines and pairs of what left 60 s ago are given up, and shut out ones let back. (4) an unreadable probe answer, sums of nobody's task and spans longer than this life are no evidence.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -1,9 +1,6 @@
-"""The decisions of one assigner: all of them, and nothing else.
+"""The decisions of one assigner: all of them, and nothing else. No clock, no I/O; docs/design.md says why.
 
-    brain = Brain(terms, seed)          # garnetpaddle.interface.Terms, the instance's own seed
-    orders = brain.handle(now, events)  # events and orders: garnetpaddle/interface; now in tenths of a ms
-
-No clock, no I/O. docs/design.md says what is kept of its source and when exceptions act.
+    orders = Brain(terms, seed).handle(now, events)  # garnetpaddle/interface; now in tenths of a ms
 """
 
 import dataclasses
@@ -15,7 +12,7 @@
 from garnetpaddle import interface as gp
 
 SECOND = 10_000  # tenths of a ms
-TABLE = 1  # number of the one shared table
+STILL = 30_000  # 3 s without an answer to a mark, more than a stall: then time alone empties the queue
 BEAT = 1_000  # 0.1 s: well under every delay it has to notice
 BETA = 0.4  # weight of the latest reading: steps are seconds apart, and one reading is noisy
 STEP_UP, STEP_DOWN = 2.0, 3.0  # most a share grows or shrinks in a step: an overload must be left quickly
@@ -33,7 +30,7 @@
 THIN = 20  # s: a proxy that takes longer for the failures that make it avoid a task avoids few
 COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
-PACE = (0, 3_000, 10_000)  # least time between pushes: rule, health, weights
+PACE = (0, 3_000, 10_000)  # least time between pushes of rule, health, weights: none holds up another
 ROOM = (0.97, 0.5, 0.5)  # of the queue limit: most that may wait after such a push
 IDLE, JOINS = 0.3, 0.6  # of the queue limit: weights start below; most after joins, the rest is for drains
 HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
@@ -45,7 +42,7 @@
 FULL, TIGHT = 0.8, 0.88  # share of busy cores: beyond it waits grow without end; no calm is left for outs
 LATE = 0.6  # of the SLO time: a mean answer time at which many answers come late
 LET_IN_DOWN, LET_IN_UP = 0.4, 1.4  # most that admission moves at once: out of a jam quickly, and not back
-PILED = 3.0  # times the usual calls in hand: more than swings of traffic bring
+PILED = 3.0  # times the usual calls in hand: more than swings of traffic bring, and told before late sums
 JAMMED = 1.3  # times the pressure while answers come late: what waits has to be worked off too
 NO_TRIES = 0.1  # share of failures at the median task from which nothing is tried again
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
@@ -60,12 +57,11 @@
 
 class Task:
     def __init__(self, line, share, warm_after):
-        self.id, self.kind, self.zone = line.task, line.kind, line.zone
+        self.id, self.kind, self.zone, self.share = line.task, line.kind, line.zone, share
         self.ramp_from, self.ramp_for = line.started_at, warm_after if line.started_at else 0
-        self.share, self.headroom, self.failing = share, 0.0, 0.0
-        self.doubt, self.out, self.hold, self.holds, self.good_probes = 0.0, False, 0, 0, 0
-        self.trial, self.slow, self.probe_failed, self.unlisted = False, False, False, False
-        self.heard_at, self.good_at, self.answers, self.busy, self.held = -SECOND, -SECOND, 0.0, 0.0, 0.0
+        self.hold, self.holds, self.good_probes, self.heard_at, self.good_at = 0, 0, 0, -SECOND, -SECOND
+        self.headroom = self.failing = self.doubt = self.answers = self.busy = self.held = 0.0
+        self.out = self.trial = self.slow = self.probe_failed = self.unlisted = False
         self.forget()
 
     def warm(self, now):
@@ -91,14 +87,13 @@
         self.laid, self.withdrawn = {}, {}  # present: weights, 0 in doubt; what is shut out, False in doubt
         self.admitted, self.notes, self.pending, self.covered = {}, [], [], {}  # admitted: the present levels
         self.due, self.serial = [(0, 0, Brain.watch, None)] * (terms.list_mode == "ask"), 0
-        self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, -SECOND
+        self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, [-SECOND] * 3
         # When the last push of each took effect (0: not yet); the mark it waits for, by proxies' calls.
         self.mark, self.effect, self.awaited = 0, {"weights": 0, "levels": 0}, {}
-        self.beat_at = self.watch_fails = self.sums_at = self.since = 0
+        self.beat_at = self.watch_fails = self.sums_at = self.since = self.late = self.moved_at = 0
         self.let_in, self.held, self.levels, self.calls_heard = 1.0, 1.0, {}, {}  # held: usually in hand
-        self.size, self.cut = 0.0, False  # mean listed size at the start, a share of 1; no further tries
-        self.round = terms.report_period  # time in which reports tell of all: capped lines take turns
-        self.fleet, self.mine = 1, []  # most tasks ever ready at once; those that this instance orders
+        self.size, self.cut, self.round = 0.0, False, terms.report_period  # mean listed size; no further
+        self.fleet, self.mine, self.table = 1, [], 1  # tries; time to hear of all; most ever ready; ours
 
     def handle(self, now, events):
         orders = []
@@ -114,6 +109,7 @@
         orders += [gp.Note(self.notes.pop(0)) for _ in self.notes[:]]
         if self.beat_at <= now:
             self.beat_at = now + BEAT
+            self.forget_gone(now, orders)
             orders.append(gp.Timer(self.beat_at, "beat"))
         return orders
 
@@ -123,19 +119,15 @@
 
     def heard_list(self, now, event):
         if event.form == "lost":
-            # Spread and doubled: assigners cut off together must not ask together.
-            wait = BACKOFF * 2 ** min(self.watch_fails, 5) * self.uniform(0.7, 1.3)
+            wait = BACKOFF * 2 ** min(self.watch_fails, 5) * self.uniform(0.7, 1.3)  # not all at one time
             self.watch_fails += 1
             return self.later(now + int(min(wait, self.terms.must_ask_in / 2)), Brain.watch)
         self.watch_fails *= event.form == "stale"
-        if event.form != "changes":
-            named = {line.task for line in event.lines}
-            for line in self.lines.values():
-                if line.task not in named and line.state != "gone":
-                    self.take_line(now, dataclasses.replace(line, state="gone", started_at=0))
-        sizes = [line.size for line in event.lines if line.state == "ready"]
-        self.size = self.size or statistics.fmean(sizes or [0.0])
-        for line in event.lines:
+        named = [line.task for line in event.lines]
+        unnamed = [x for k, x in self.lines.items() if event.form != "changes" and k not in named]
+        gone = [dataclasses.replace(x, state="gone", started_at=0) for x in unnamed if x.state != "gone"]
+        self.size = self.size or statistics.fmean([x.size for x in event.lines if x.state == "ready"] or [0])
+        for line in (*gone, *event.lines):
             self.take_line(now, line)
 
     def take_line(self, now, line):
@@ -144,7 +136,7 @@
         if line.state == "gone" and (state == "draining" or state == "ready" and not self.terms.gone_binds):
             if state == "ready":
                 # The list may be wrong: what it says counts as evidence, and calls and probes say the rest.
-                task.doubt, task.unlisted = max(task.doubt, UNLISTED), True
+                task.doubt, task.unlisted, self.left_at[line.task] = max(task.doubt, UNLISTED), True, now
             return
         if line.state == "ready":
             if state == "ready" and line.started_at <= known.started_at:
@@ -158,14 +150,22 @@
         self.left_at[line.task] = now
         self.lines[line.task] = line
 
+    def forget_gone(self, now, orders):
+        """Gives up what left so long ago that no proxy can hold its line and no answer can speak of it."""
+        for k, line in list(self.lines.items()):
+            gone = line.state != "ready" or self.tasks[k].unlisted and self.tasks[k].out
+            if gone and now - self.left_at[k] >= HELD and k not in self.laid:
+                orders += [gp.Withdraw(k, False)] * (self.withdrawn.pop(k, None) is not None)
+                del self.lines[k], self.left_at[k]
+                self.tasks.pop(k, None)
+
     def watch(self, now, _, orders):
         orders.append(gp.Watch())
 
     def heard_join(self, now, event):
         if not self.proxies:
             self.since, self.covered, self.pending = now, {}, []
-            # Standing tables are drawn by chance from the list: on average they are the first shares.
-            self.effect, self.awaited = {"weights": now, "levels": now}, {}
+            self.effect, self.awaited = {"weights": now, "levels": now}, {}  # by chance, as the first shares
         self.proxies[event.proxy] = Proxy(event, getattr(self.proxies.get(event.proxy), "messages", []))
 
     def heard_leave(self, now, event):
@@ -177,7 +177,7 @@
             # Messages leave in order: what was written before this one has left the channel.
             reply = self.sent[event.mark]
             reply[0] += reply[1]
-            self.queue = max(0.0, min(self.queue, self.written - reply[0]))
+            self.queue, self.moved_at = max(0.0, min(self.queue, self.written - reply[0])), now
         self.settle(now, event.proxy, event.mark)
 
     def heard_lost(self, now, event):
@@ -186,17 +186,17 @@
             match order:
                 case gp.SetLine(task=k):
                     self.laid[k] = 0.0
-                case gp.Withdraw(task=k):
+                case gp.Withdraw(task=k) if k in self.lines:
                     self.withdrawn[k] = False
                 case gp.Bind(proxy=p) if p in self.proxies:
-                    self.proxies[p].bound = False
+                    self.proxies[p].bound = None if event.perhaps else False
                 case gp.Admit():
                     self.admitted = {}
                 case gp.Seal(mark=mark) if mark in self.sent and not event.perhaps:
                     self.queue = max(0.0, self.queue - self.sent.pop(mark)[2])
 
     def heard_doubt(self, now, event):
-        self.laid, self.admitted = dict.fromkeys(self.laid, 0.0), {}
+        self.table, self.laid, self.admitted = self.table % 60_000 + 1, {}, {}  # laying that reaches nobody
         self.withdrawn = dict.fromkeys(self.withdrawn, False)
         for proxy in self.proxies.values():
             proxy.bound = False
@@ -214,15 +214,22 @@
         return sum(p.rate for p in self.proxies.values())
 
     def heard_sums(self, now, event):
-        self.sums_at = self.sums_at if self.pending else now
-        self.pending.append(event)
-        # A pair's spans add up to the time its sums cover: what that falls short of now is their age.
-        pair = event.task, event.zone
-        self.covered[pair] = self.covered.get(pair, self.since) + event.span
+        if event.task in self.tasks and event.span <= now - self.since + self.terms.report_period:
+            self.sums_at = self.sums_at if self.pending else now
+            self.pending.append(event)
+
+    def counted_until(self, now):
+        """Until when these sums were counted: a pair's spans add up, but for idle spells and lost ones."""
+        base = self.covered or {(e.task, e.zone): self.since for e in self.pending}
+        ends = [base[e.task, e.zone] + e.span for e in self.pending if (e.task, e.zone) in base]
+        until = min(int(statistics.median(ends)) if ends else now - self.late, now)
+        kept = {pair: at for pair, at in self.covered.items() if pair[0] in self.tasks}
+        self.late, self.covered = now - until, kept | {(e.task, e.zone): until for e in self.pending}
+        return until
 
     def gather(self, now):
         """Keeps of the last sums what was wholly counted after the last push took effect, and steps on it."""
-        until = min(max(self.covered.values()), now)
+        until = self.counted_until(now)
         spans = statistics.median([event.span for event in self.pending])
         self.round += BETA * (max(spans, self.terms.report_period) - self.round)
         heard, since = {}, [0, 0, 0.0]
@@ -246,19 +253,16 @@
             self.held *= 1 + BETA * (max(self.piled() * PILED, 1 / self.held) - 1)
         if since[0] and self.terms.level_kind == "fraction":
             self.admit(*since)
-        self.pending = []
-        tasks = [t for t in self.mine if not t.out]
+        tasks, self.pending = [t for t in self.mine if not t.out], []
         if tasks and sum(t.tries for t in tasks) >= ENOUGH * len(tasks):
             self.step(tasks)
 
     def learn(self, now, task, tries, failures, latency):
-        good = tries - failures
+        task.heard_at, good = now, tries - failures
         task.failing += tries / (tries + FEW) * (failures / tries - task.failing)
-        task.heard_at = now
         # Slow answers are overload, which the step eases: out, it would jam others in turn. So with probes.
         if good:
-            task.answers = (task.answers or latency / good) / 2 + latency / good / 2
-            task.good_at = now
+            task.answers, task.good_at = (task.answers or latency / good) / 2 + latency / good / 2, now
         task.slow = now - task.good_at < HEARD * self.round and task.answers > 2 * self.usual_latency(task)
         if not task.slow:
             self.weigh(task, failures, good, self.usual_failing())
@@ -273,7 +277,7 @@
 
     def heard_probe(self, now, event):
         task = self.tasks.get(event.task)
-        if task is None or event.outcome == "full":
+        if task is None or event.outcome in ("full", "other"):  # neither tells of its calls
             return
         ok = event.outcome == "ok"
         task.held = max(0.0, event.load.get("in_hand", task.held))
@@ -375,7 +379,6 @@
         return min(max(0.0, 1 - max(3 * self.usual_failing(), jam)), 1.0)
 
     def piled(self):
-        """Calls in hand over three times their usual number: probes tell of a jam before late sums do."""
         return statistics.median([t.held for t in self.mine] or [0.0]) / self.held / PILED
 
     def silent(self):
@@ -393,8 +396,7 @@
         if not any(t.warm(now) for t in tasks):  # failing beats none: the least doubtful warm task stays
             tasks += sorted((t for t in mine if t.out and t.warm(now)), key=lambda t: t.doubt)[:1]
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if t.warm(now)}
-        # A cold task gets its ramp's part of an even share at most, few as the warm are. While most fail
-        # calls come again, and proxies that avoid tasks would crowd it: there it waits.
+        # A cold task gets its ramp's part of an even share; while most fail, it would be crowded: it waits.
         calm = self.calm() if full else 1.0
         calm = calm**2 if calm > COLD_CALM else 0.0
         if self.spread_thin(mine):
@@ -425,14 +427,13 @@
 
     def ramp(self, now, task):
         age, start, fall = now - task.ramp_from, self.terms.start_share, self.terms.fall_multiple
-        if age < COLD_WAIT * self.terms.report_period:
-            return 0.0
-        return min(task.share, COLD_PART * (fall * (start + (1 - start) * min(age / task.ramp_for, 1))))
+        bears = COLD_PART * (fall * (start + (1 - start) * min(age / task.ramp_for, 1)))
+        return min(task.share, bears) * (age >= COLD_WAIT * self.terms.report_period)
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
-        self.queue = max(0.0, self.queue - (now - self.queue_at) / SECOND * self.terms.channel_lines / 2)
-        self.queue_at = now
+        still = (now - self.queue_at) * (now - self.moved_at > STILL) / SECOND
+        self.queue, self.queue_at = max(0.0, self.queue - still * self.terms.channel_lines / 2), now
         limit, lines, laid, changes = self.terms.queue_limit, self.wanted(now), self.laid, []
         bare = not any(weight and k in lines for k, weight in laid.items())
         for k in laid:
@@ -450,17 +451,17 @@
                 changes.append((urgency, -abs(weight - old) * (warm or weight < old), k, weight))
         changes.sort()
         joining = [p for _, p in sorted((-x.rate, p) for p, x in self.proxies.items() if not x.bound)]
-        bound = [proxy for proxy in self.proxies.values() if proxy.bound]
-        start, least = self.written, limit
-        fit = self.fits(now, changes, bound)
-        for _, _, k, weight in changes[:fit]:
+        bound = [proxy for proxy in self.proxies.values() if proxy.bound is not False]  # None: in doubt
+        start, fit = self.written, self.fits(now, changes, bound)
+        for urgency, _, k, weight in changes[:fit]:
+            self.pushed_at[urgency] = now if bound else self.pushed_at[urgency]
             if weight and self.withdrawn.pop(k, None) is not None:
                 orders.append(gp.Withdraw(k, False))
                 self.write(now, 0, [self.proxies[p] for p in joining])
-            orders.append(gp.SetLine(TABLE, k, round(weight, 3)))
+            orders.append(gp.SetLine(self.table, k, round(weight, 3)))
             laid.pop(k, None)
             laid |= {k: weight} if weight else {}
-        self.pushed_at = now if fit and bound else self.pushed_at
+            self.left_at[k] = self.left_at[k] if weight else now
         # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
         self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
         tries = "none" if self.cut else "on proof"
@@ -470,17 +471,15 @@
         news = bool(moved and (self.admitted or self.let_in < 1))
         for level in sorted({levels[k] for k in moved}):
             routes = tuple(k for k in moved if levels[k] == level)
-            orders.append(gp.Admit(TABLE, routes, *level))
-            if news:
-                self.notes.append(f"routes {routes} are let in at {level[0]:.0%}, tried again {tries}")
+            orders.append(gp.Admit(self.table, routes, *level))
+            self.notes += [f"routes {routes} are let in at {level[0]:.0%}, tried again {tries}"] * news
         self.admitted = levels if moved else self.admitted
-        if fit or moved:
-            least = self.write(now, fit + len(moved), bound)
+        least = self.write(now, fit + len(moved), bound) if fit or moved else limit
         # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
         lines, reached = len(laid) + len(levels) + 1, self.proxies if fit or moved else joining[:]
         while joining and self.queue + lines + self.terms.head_lines + 1 <= JOINS * limit:
             p = joining.pop(0)
-            orders.append(gp.Bind(p, TABLE))
+            orders.append(gp.Bind(p, self.table))
             self.proxies[p].bound = True
             least = min(least, self.write(now, lines, [self.proxies[p]]))
         self.shut_out(now, [self.proxies[p] for p in joining], orders)
@@ -498,20 +497,21 @@
 
     def shut_out(self, now, waiting, orders):
         """Proxies that wait for their table may hold lines of tasks that left: these are shut out."""
+        spare, count = ROOM[0] * self.terms.queue_limit - self.queue, 0
         for k, at in self.left_at.items() if waiting else ():
             binds = self.lines[k].state in ("draining", "gone" if self.terms.gone_binds else "draining")
-            out, spare = self.withdrawn.get(k), ROOM[0] * self.terms.queue_limit - self.queue
-            if binds and now - at < HELD and (out is None or not out and spare > 0):  # in doubt: if it fits
+            out, fits = self.withdrawn.get(k), spare > count * (self.terms.head_lines + 1) * len(waiting)
+            if binds and now - at < HELD and (out is None or not out and fits):  # in doubt: if it fits
                 orders.append(gp.Withdraw(k, True))
-                self.withdrawn[k] = True
-                self.write(now, 0, waiting)
+                self.withdrawn[k], count = True, count + 1
+        self.write(now, count, waiting if count else ())
 
     def fits(self, now, changes, bound):
         """How many changes may go now, the most urgent first: pace, queue and message cap tell."""
         fit, head = 0, self.terms.head_lines + 1
         for urgency in range(3):
             upto = sum(c[0] <= urgency for c in changes)
-            if upto <= fit or now - self.pushed_at < PACE[urgency] or self.capped(now, urgency, bound):
+            if upto <= fit or self.too_soon(now, urgency, bound):
                 continue
             if not bound:
                 fit = upto
@@ -521,12 +521,13 @@
                 fit = upto if room >= upto else max(fit, room * (room >= head or urgency == 2))
         return fit
 
-    def capped(self, now, urgency, bound):
+    def too_soon(self, now, urgency, bound):
         cap, since = self.terms.message_cap, now - self.terms.message_span - SECOND
-        return cap and any(sum(at > since for at in p.messages) >= CAPPED[urgency] * cap - 1 for p in bound)
+        full = cap and any(sum(at > since for at in p.messages) >= CAPPED[urgency] * cap - 1 for p in bound)
+        return full or now - self.pushed_at[urgency] < PACE[urgency]
 
     def write(self, now, lines, proxies):
-        cost = lines + self.terms.head_lines + 1
+        cost, self.moved_at = lines + self.terms.head_lines + 1, self.moved_at if self.queue else now
         self.queue, self.written = self.queue + len(proxies) * cost, self.written + len(proxies) * cost
         for proxy in proxies:
             proxy.messages = [*proxy.messages[-98:], now]
