Tasks that nothing listens at any more leave the table however many fail

Checked in the trace: probes say unreachable within a second, sums say no good answer two seconds later; calm falls as more than a quarter fail probes together (silent), so the limit on outs (judge) shrinks and usual failing makes each probe weigh little. Overload it is not: an overloaded task refuses by word or is slow. Now a task whose last probe found nothing listening and whose last sums had no good answer is not counted in the limit, nor unreachable probes in the sign of overload, as long as half the fleet remains; more than half is taken for a fault of the network. A probe that failed for want of our own descriptors says nothing. It also covers a zone without power; it hurts where a link is cut for us and the proxies alike: a round of holds and a trial.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -47,6 +47,7 @@
 NO_TRIES = 0.1  # share of failures at the median task from which nothing is tried again
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
+ABSENT, LOST_MOST = "unreachable", 0.5  # nothing listens there; of the tasks: more is a fault of the network
 HOLD, HOLD_MOST, HEARD = 3, 24, 3  # rounds of reports: out at first, doubled up to; sums still tell
 PROBE_WAIT = 0.5  # of the shortest SLO time: a task that takes as long for a probe answers calls late
 PROBE_EVERY, PROBE_SOON = 10_000, 4_000  # 1 s between probes of a task, 0.4 s where one is in doubt
@@ -57,11 +58,11 @@
 
 class Task:
     def __init__(self, line, share, warm_after):
-        self.id, self.kind, self.zone, self.share = line.task, line.kind, line.zone, share
+        self.id, self.kind, self.zone, self.share, self.probed = line.task, line.kind, line.zone, share, "ok"
         self.ramp_from, self.ramp_for = line.started_at, warm_after if line.started_at else 0
         self.hold, self.holds, self.good_probes, self.heard_at, self.good_at = 0, 0, 0, -SECOND, -SECOND
         self.headroom = self.failing = self.doubt = self.answers = self.busy = self.held = 0.0
-        self.out = self.trial = self.slow = self.probe_failed = self.unlisted = False
+        self.out = self.trial = self.slow = self.unlisted = False
         self.forget()
 
     def warm(self, now):
@@ -147,8 +148,7 @@
                 task = self.tasks[line.task] = Task(line, share, self.terms.warm_after)
                 if self.terms.probes_allowed:
                     self.later(now + int(self.uniform(0, PROBE_EVERY)), Brain.probe, task)
-        self.left_at[line.task] = now
-        self.lines[line.task] = line
+        self.left_at[line.task], self.lines[line.task] = now, line
 
     def forget_gone(self, now, orders):
         """Gives up what left so long ago that no proxy can hold its line and no answer can speak of it."""
@@ -285,7 +285,7 @@
         task.unlisted = task.unlisted and not ok  # the list says that it is gone; it answers
         if not task.out and not (task.slow and event.outcome != "error"):
             self.weigh(task, int(not ok), int(ok), self.silent())
-        task.probe_failed = not ok
+        task.probed = event.outcome
 
     def weigh(self, task, failures, good, usual):
         """Wald's test: is this task's share of failures BAD, or what is usual for all of them just now?"""
@@ -319,10 +319,9 @@
         self.awaited.pop("weights", None)
         usual = sum(t.spent() for t in tasks) / sum(t.tries for t in tasks)
         # Tasks listed as of one kind tell of each other: a thin reading is pulled to its kind's average.
-        alike = {}
-        for kind in sorted({t.kind for t in tasks}):
-            same = [t for t in tasks if t.kind == kind]
-            alike[kind] = (sum(t.spent() for t in same) + FEW * usual) / (sum(t.tries for t in same) + FEW)
+        kinds = {kind: [t for t in tasks if t.kind == kind] for kind in sorted({t.kind for t in tasks})}
+        alike = {kind: (sum(t.spent() for t in same) + FEW * usual) / (sum(t.tries for t in same) + FEW)
+                 for kind, same in kinds.items()}
         for t in tasks:
             latest = (t.tries + FEW) / (t.spent() + FEW * alike[t.kind]) / t.share**RATE
             t.headroom = BETA * latest + (1 - BETA) * t.headroom if t.headroom else latest
@@ -342,8 +341,7 @@
         late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > NO_TRIES
         pressure = self.busy() / FULL
         if late:
-            # Never more while late. Calls that pile up though cores idle wait for something shared.
-            pressure = max(pressure * JAMMED, self.piled(), 1.0)
+            pressure = max(pressure * JAMMED, self.piled(), 1.0)  # never more; idle cores: something shared
         self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
         cut, every = 1 - self.let_in, sum(work.values())
@@ -357,18 +355,20 @@
     def judge(self, now):
         """Takes out what the test holds bad, worst first, and lets back in what has proved itself."""
         ready = self.ready()
-        total = sum(t.share for t in ready)
+        # Calls fail where nothing listens any more: no overload, so the limit on outs leaves it out.
+        lost = [t for t in ready if t.probed == ABSENT and t.heard_at > t.good_at]
+        lost = lost * (len(lost) <= LOST_MOST * len(ready)) + [t for t in ready if t.unlisted]
         for t in ready:
             t.trial = t.trial and t.doubt > 0
             if t.out and now >= t.hold and (t.good_probes >= 2 or not self.terms.probes_allowed):
                 t.out, t.doubt, t.trial = False, SURE / 2, True
                 t.forget()
                 self.notes.append(f"{t.id} is let back on trial")
-        gone = sum(t.share for t in ready if (t.out or t.trial) and not t.unlisted)
-        most = OUT_MOST * self.calm() * total
+        gone = sum(t.share for t in ready if (t.out or t.trial) and t not in lost)
+        most = OUT_MOST * self.calm() * sum(t.share for t in ready)
         for t in sorted(ready, key=lambda t: -t.doubt):
-            if not t.out and t.doubt >= SURE and (t.unlisted or gone + t.share <= most):
-                gone += t.share * (not t.unlisted)
+            if not t.out and t.doubt >= SURE and (t in lost or gone + t.share <= most):
+                gone += t.share * (t not in lost)
                 t.hold = now + int(min(HOLD * 2 ** t.holds, HOLD_MOST) * self.round)
                 t.out, t.good_probes, t.holds = True, 0, t.holds + 1
                 self.notes.append(f"{t.id} is taken out: it fails calls that others answer")
@@ -382,7 +382,7 @@
         return statistics.median([t.held for t in self.mine] or [0.0]) / self.held / PILED
 
     def silent(self):
-        return statistics.fmean([t.probe_failed for t in self.ready() if not t.out] or [0.0])
+        return statistics.fmean([t.probed not in ("ok", ABSENT) for t in self.ready() if not t.out] or [0.0])
 
     def busy(self):
         return statistics.fmean([t.busy for t in self.ready() if t.busy and not t.out] or [0.0])
--- a/garnetpaddle/net/http.py
+++ b/garnetpaddle/net/http.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 over one connection, on asyncio streams and h11. Failures are values: how far a call came."""
 
 import asyncio
+import errno
 import time
 from dataclasses import dataclass
 
 import h11
 
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 CHUNK = 64 << 10  # bytes read at once
 ONCE_MORE = 0.02  # s: a few turns of the event loop
 BODY_MOST = 8 << 20  # bytes: a longer answer is unreadable
@@ -16,6 +18,7 @@
     """Not a byte of it was written."""
 
     why: str
+    ours: bool = False  # it says nothing of the other side: descriptors or memory ran short here
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +64,7 @@
         streams = await within(wait, asyncio.open_connection(*address, limit=CHUNK))
         return Connection(*streams, address)
     except (OSError, TimeoutError) as error:
-        return NotSent(f"connect: {reason(error)}")
+        return NotSent(f"connect: {reason(error)}", error.errno in SHORT)
 
 
 class Connection:
--- a/garnetpaddle/net/probes.py
+++ b/garnetpaddle/net/probes.py
@@ -49,7 +49,7 @@
                 return self.outcome(result, link, at)
         link = await http.dial(at, max(0.001, until - time.monotonic()))
         if isinstance(link, http.NotSent):
-            return "unreachable", {}
+            return "other" if link.ours else "unreachable", {}
         result = await link.call("GET", self.path, max(0.001, until - time.monotonic()))
         return self.outcome(result, link, at)
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -535,6 +535,23 @@
     play.matches("queue")
 
 
+@pytest.mark.parametrize("what", ["some_are_gone", "all_are_gone", "only_probes_fail"])
+def test_tasks_that_nothing_listens_at_any_more_leave_however_many(what):
+    play = Play(tasks="abcdefghij")
+    play.run(4)
+    for name in "abcd" if what == "some_are_gone" else "abcdefghij":
+        play.probes[name] = "unreachable"
+        if what != "only_probes_fail":
+            play.sums[name] = (10, 10, 0)
+    play.say(what.replace("_", " "))
+    play.run(8)
+    play.probes.clear()
+    play.sums = dict.fromkeys("abcdefghij", (10, 0, 200))
+    play.say("all answer again")
+    play.run(12)
+    play.matches(what)
+
+
 class Relay:
     """Carries orders out, or loses them, as a draw has it; knows what then stands."""
 
