The first step comes at three answers a task, when kinds tell of each other

A thin reading is pulled to its kind's average as by ten answers, so three a task are enough to tell kinds apart, which is most of the first step. Later steps wait for eight as before.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -19,7 +19,7 @@
 FLOOR = 0.2  # of the average share: enough calls to keep hearing of a task
 RATE = 0.7  # power of the answer rate in the headroom: between equal latency (0) and equal calls in hand (1)
 FEW = 10.0  # answers: a reading of so few counts half, the average the other half
-ENOUGH = 8  # answers a task on average before a step: fewer are gathered over more reports
+ENOUGH = (3, 8)  # answers a task on average before a step: the first, when kinds tell more; the others
 FAILED = SECOND  # a failed answer counts as 1 s of latency
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
 COLD_PART = 0.4  # of what a cold task bears: the rest is for tries again, bursts and weak machines
@@ -254,7 +254,7 @@
         if since[0] and self.terms.level_kind == "fraction":
             self.admit(*since)
         tasks, self.pending = [t for t in self.mine if not t.out], []
-        if tasks and sum(t.tries for t in tasks) >= ENOUGH * len(tasks):
+        if tasks and sum(t.tries for t in tasks) >= ENOUGH[any(t.headroom for t in tasks)] * len(tasks):
             self.step(tasks)
 
     def learn(self, now, task, tries, failures, latency):
