--- a/examples/toys.py
+++ b/examples/toys.py
@@ -5,7 +5,7 @@
 
 No call is ever made: each second the collector tells of calls spread by the table that stands, at tasks of
 fixed, different speeds. The relay prints the table whenever an order changes it. After 30 s one task is
-listed as leaving.
+listed as leaving. Discovery and the relay also listen one port higher, to try a new configuration with SIGHUP.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 
 ASSIGNER, DISCOVERY, RELAY = ("127.0.0.1", 7000), ("127.0.0.1", 7100), ("127.0.0.1", 7200)
 TASKS = {"quick": (7301, 40.0), "middling": (7302, 80.0), "slow": (7303, 160.0)}  # port, ms at an even share
-PROXIES, CALLS_A_SECOND, LEAVES_AT = (1, 2), 60, 30.0
+PROXIES, CALLS_A_SECOND, LEAVES_AT = (0, 1), 60, 30.0
 
 table, news, leaving = {}, [], asyncio.Event()
 
@@ -142,8 +142,9 @@
 async def main():
     global start
     start = asyncio.get_running_loop().time()
-    await asyncio.start_server(party(discovery), *DISCOVERY)
-    await asyncio.start_server(party(relay), *RELAY)
+    for serve, (host, port) in ((discovery, DISCOVERY), (relay, RELAY)):
+        for at in (port, port + 1):
+            await asyncio.start_server(party(serve), host, at)
     for port, _ in TASKS.values():
         await asyncio.start_server(party(task), "127.0.0.1", port)
     say("toys: ready")
