--- a/examples/toys.py
+++ b/examples/toys.py
@@ -5,7 +5,7 @@
 
 No call is ever made: each second the collector tells of calls spread by the table that stands, at tasks of
 fixed, different speeds. The relay prints the table whenever an order changes it. After 30 s one task is
-listed as leaving. Discovery and the relay also listen one port higher, to try a new configuration with SIGHUP.
+listed as leaving. Discovery and the relay also listen one port higher, to try a reload with SIGHUP.
 """
 
 import asyncio
