Absent tasks stay a sign of overload, and return as soon as two probes are answered

In the exception: calm no longer fell where many were gone, and the hold of a relapse kept flapping tasks out longer each time. Now calm counts them again, their own probes weigh fully, and they return after two answered probes, without a hold.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -284,7 +284,7 @@
         task.good_probes = task.good_probes + 1 if ok else 0
         task.unlisted = task.unlisted and not ok  # the list says that it is gone; it answers
         if not task.out and not (task.slow and event.outcome != "error"):
-            self.weigh(task, int(not ok), int(ok), self.silent())
+            self.weigh(task, int(not ok), int(ok), self.silent() * (event.outcome != ABSENT))
         task.probed = event.outcome
 
     def weigh(self, task, failures, good, usual):
@@ -369,8 +369,8 @@
         for t in sorted(ready, key=lambda t: -t.doubt):
             if not t.out and t.doubt >= SURE and (t in lost or gone + t.share <= most):
                 gone += t.share * (t not in lost)
-                t.hold = now + int(min(HOLD * 2 ** t.holds, HOLD_MOST) * self.round)
-                t.out, t.good_probes, t.holds = True, 0, t.holds + 1
+                t.hold = now + int(min(HOLD * 2 ** t.holds, HOLD_MOST) * self.round) * (t not in lost)
+                t.out, t.good_probes, t.holds = True, 0, t.holds + (t not in lost)
                 self.notes.append(f"{t.id} is taken out: it fails calls that others answer")
 
     def calm(self):
@@ -382,7 +382,7 @@
         return statistics.median([t.held for t in self.mine] or [0.0]) / self.held / PILED
 
     def silent(self):
-        return statistics.fmean([t.probed not in ("ok", ABSENT) for t in self.ready() if not t.out] or [0.0])
+        return statistics.fmean([t.probed != "ok" for t in self.ready() if not t.out] or [0.0])
 
     def busy(self):
         return statistics.fmean([t.busy for t in self.ready() if t.busy and not t.out] or [0.0])
