--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -12,6 +12,7 @@
 from garnetpaddle import interface as gp
 
 SECOND = 10_000  # tenths of a ms
+HEIR = 60_000  # 6 s: how long proxies keep tables ordered before this start, better ones than even shares
 STILL = 30_000  # 3 s without an answer to a mark, more than a stall: then time alone empties the queue
 BEAT = 1_000  # 0.1 s: well under every delay it has to notice
 BETA = 0.4  # weight of the latest reading: steps are seconds apart, and one reading is noisy
@@ -77,7 +78,8 @@
 
 class Proxy:
     def __init__(self, joined, messages):
-        self.rate, self.bound, self.messages = max(0.1, joined.rate), False, messages
+        self.rate, self.fresh = max(0.1, joined.rate), joined.fresh
+        self.bound, self.messages = False, messages
 
 
 class Brain:
@@ -150,8 +152,7 @@
                     self.later(now + int(self.uniform(0, PROBE_EVERY)), Brain.probe, task)
         self.left_at[line.task], self.lines[line.task] = now, line
 
-    def forget_gone(self, now, orders):
-        """Gives up what left so long ago that no proxy can hold its line and no answer can speak of it."""
+    def forget_gone(self, now, orders):  # left so long ago that no proxy can hold its line any more
         for k, line in list(self.lines.items()):
             gone = line.state != "ready" or self.tasks[k].unlisted and self.tasks[k].out
             if gone and now - self.left_at[k] >= HELD and k not in self.laid:
@@ -201,8 +202,7 @@
         for proxy in self.proxies.values():
             proxy.bound = False
 
-    def settle(self, now, proxy, upto):
-        """A push has taken effect once all but a tenth of the calls go by it."""
+    def settle(self, now, proxy, upto):  # a push has taken effect once all but a tenth of calls go by it
         for what, (mark, waiting) in list(self.awaited.items()):
             if (upto - mark) % 65_536 < 32_768:
                 waiting.pop(proxy, None)
@@ -218,8 +218,7 @@
             self.sums_at = self.sums_at if self.pending else now
             self.pending.append(event)
 
-    def counted_until(self, now):
-        """Until when these sums were counted: a pair's spans add up, but for idle spells and lost ones."""
+    def counted_until(self, now):  # a pair's spans add up, but for idle spells and lost sums: by the median
         base = self.covered or {(e.task, e.zone): self.since for e in self.pending}
         ends = [base[e.task, e.zone] + e.span for e in self.pending if (e.task, e.zone) in base]
         until = min(int(statistics.median(ends)) if ends else now - self.late, now)
@@ -287,8 +286,7 @@
             self.weigh(task, int(not ok), int(ok), self.silent() * (event.outcome != ABSENT))
         task.probed = event.outcome
 
-    def weigh(self, task, failures, good, usual):
-        """Wald's test: is this task's share of failures BAD, or what is usual for all of them just now?"""
+    def weigh(self, task, failures, good, usual):  # Wald's test: a BAD share of failures, or the usual one?
         usual = min(max(usual, 0.02), 0.8)
         bad = max(BAD, 0.4 * usual + 0.6 * (usual > 0.1))
         task.doubt += failures * math.log(bad / usual) + good * math.log((1 - bad) / (1 - usual))
@@ -320,6 +318,10 @@
         usual = sum(t.spent() for t in tasks) / sum(t.tries for t in tasks)
         # Tasks listed as of one kind tell of each other: a thin reading is pulled to its kind's average.
         kinds = {kind: [t for t in tasks if t.kind == kind] for kind in sorted({t.kind for t in tasks})}
+        for same in kinds.values() if any(not p.bound for p in self.proxies.values()) else ():
+            mean = statistics.fmean(t.tries for t in same)  # proxies that keep a table ordered before this
+            for t in same if not any(t.headroom for t in tasks) else ():  # start tell what shares stand
+                t.share = max(mean * (t.tries + FEW) / (mean + FEW), 1.0)
         alike = {kind: (sum(t.spent() for t in same) + FEW * usual) / (sum(t.tries for t in same) + FEW)
                  for kind, same in kinds.items()}
         for t in tasks:
@@ -336,7 +338,7 @@
             t.share = max(t.share * scale, FLOOR)
 
     def admit(self, tries, failures, latency):
-        """How much work to let in; acts only where the whole fleet is short, and least worth goes first."""
+        """How much work to let in where the fleet is short, least worth first; SLO time stands for work."""
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
         late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > NO_TRIES
         pressure = self.busy() / FULL
@@ -345,15 +347,13 @@
         self.let_in = min(self.let_in * min(max(1 / max(pressure, 0.1), LET_IN_DOWN), LET_IN_UP), 1.0)
         work = {k: max(self.calls_heard.get(k, 1), 1) * r.slo_time for k, r in enumerate(self.terms.routes)}
         cut, every = 1 - self.let_in, sum(work.values())
-        # The work of a route is not told; its SLO time stands for it.
         for k in sorted(work, key=lambda k: self.terms.routes[k].importance / self.terms.routes[k].slo_time):
             part = min(cut * every / work[k], 1 - LEAST)
             cut -= part * work[k] / every
             self.levels[k] = round(1 - part, 2)
         self.calls_heard = {}
 
-    def judge(self, now):
-        """Takes out what the test holds bad, worst first, and lets back in what has proved itself."""
+    def judge(self, now):  # takes out what the test holds bad, worst first, lets back what has proved itself
         ready = self.ready()
         # Calls fail where nothing listens any more: no overload, so the limit on outs leaves it out.
         lost = [t for t in ready if t.probed == ABSENT and t.heard_at > t.good_at]
@@ -408,8 +408,7 @@
         total = sum(full.values()) / (1 - min(taken, 0.9)) if full else even
         return full | {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
 
-    def part(self, now, ready):
-        """Where all tasks for all proxies overrun the channel, each assigner orders its part of the fleet."""
+    def part(self, now, ready):  # where all tasks for all proxies overrun the channel, each orders a part
         it, even, size = self.terms, 1 / self.terms.assigners, len(self.proxies) / self.terms.proxies
         if it.proxies * even * (self.fleet + it.head_lines) <= it.queue_limit or max(size, even) >= 1:
             return ready
@@ -420,8 +419,7 @@
         mine = ready[:math.ceil(len(ready) * (size if size > UNEVEN * even else even))]
         return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
-    def spread_thin(self, ready):
-        """Whether a proxy meets each task too seldom to avoid any: then cold ones are not crowded."""
+    def spread_thin(self, ready):  # a proxy meets each task too seldom to avoid any: none is crowded
         each = self.calls() / max(len(self.proxies), 1) / max(len(ready), 1)
         return not self.terms.strikes or self.terms.strikes / max(each, 0.001) > THIN
 
@@ -451,6 +449,9 @@
                 changes.append((urgency, -abs(weight - old) * (warm or weight < old), k, weight))
         changes.sort()
         joining = [p for _, p in sorted((-x.rate, p) for p, x in self.proxies.items() if not x.bound)]
+        heir = now - self.since < HEIR and not any(t.headroom for t in self.tasks.values())
+        held = [p for p in joining if heir and not self.proxies[p].fresh]
+        joining = [p for p in joining if not heir or self.proxies[p].fresh]
         bound = [proxy for proxy in self.proxies.values() if proxy.bound is not False]  # None: in doubt
         start, fit = self.written, self.fits(now, changes, bound)
         for urgency, _, k, weight in changes[:fit]:
@@ -482,7 +483,7 @@
             orders.append(gp.Bind(p, self.table))
             self.proxies[p].bound = True
             least = min(least, self.write(now, lines, [self.proxies[p]]))
-        self.shut_out(now, [self.proxies[p] for p in joining], orders)
+        self.shut_out(now, [self.proxies[p] for p in joining + held], orders)
         if self.written > start:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
@@ -506,8 +507,7 @@
                 self.withdrawn[k], count = True, count + 1
         self.write(now, count, waiting if count else ())
 
-    def fits(self, now, changes, bound):
-        """How many changes may go now, the most urgent first: pace, queue and message cap tell."""
+    def fits(self, now, changes, bound):  # how many may go now, most urgent first, by pace, queue and cap
         fit, head = 0, self.terms.head_lines + 1
         for urgency in range(3):
             upto = sum(c[0] <= urgency for c in changes)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -552,6 +552,23 @@
     play.matches(what)
 
 
+def test_after_a_start_among_proxies_that_hold_tables_these_stand_until_the_first_step():
+    play = Play(tasks="abcde", proxies=0)
+    play.hear(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)), gp.ProxyJoined(2, 20.0, True, "z"))
+    play.sums |= {"a": (40, 0, 200), "b": (5, 0, 200)}
+    play.run(1)
+    play.hear(changes(line("e", "draining")))
+    play.run(6)
+    play.say("and where no sums come")
+    play.hear(*(gp.ProxyLeft(p) for p in range(3)))
+    silent = Play(proxies=0)
+    silent.sums = {}
+    silent.hear(gp.ProxyJoined(0, 20.0, False, "z"))
+    silent.run(7)
+    play.trace += silent.trace
+    play.matches("heir")
+
+
 class Relay:
     """Carries orders out, or loses them, as a draw has it; knows what then stands."""
 
