--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -95,8 +95,8 @@
         self.mark, self.effect, self.awaited = 0, {"weights": 0, "levels": 0}, {}
         self.beat_at = self.watch_fails = self.sums_at = self.since = self.late = self.moved_at = 0
         self.let_in, self.held, self.levels, self.calls_heard = 1.0, 1.0, {}, {}  # held: usually in hand
-        self.size, self.cut, self.round = 0.0, False, terms.report_period  # mean listed size; no further
-        self.fleet, self.mine, self.table = 1, [], 1  # tries; time to hear of all; most ever ready; ours
+        self.size, self.cut, self.round = 0.0, False, terms.report_period  # mean listed size; no more tries
+        self.fleet, self.mine, self.table = 1, [], 1  # most ever ready; those it orders; its table's number
 
     def handle(self, now, events):
         orders = []
@@ -166,7 +166,7 @@
     def heard_join(self, now, event):
         if not self.proxies:
             self.since, self.covered, self.pending = now, {}, []
-            self.effect, self.awaited = {"weights": now, "levels": now}, {}  # by chance, as the first shares
+            self.effect, self.awaited = {"weights": now, "levels": now}, {}  # chance tables are even ones
         self.proxies[event.proxy] = Proxy(event, getattr(self.proxies.get(event.proxy), "messages", []))
 
     def heard_leave(self, now, event):
@@ -318,9 +318,9 @@
         usual = sum(t.spent() for t in tasks) / sum(t.tries for t in tasks)
         # Tasks listed as of one kind tell of each other: a thin reading is pulled to its kind's average.
         kinds = {kind: [t for t in tasks if t.kind == kind] for kind in sorted({t.kind for t in tasks})}
-        for same in kinds.values() if any(not p.bound for p in self.proxies.values()) else ():
-            mean = statistics.fmean(t.tries for t in same)  # proxies that keep a table ordered before this
-            for t in same if not any(t.headroom for t in tasks) else ():  # start tell what shares stand
+        for same in kinds.values() if any(not (p.bound or p.fresh) for p in self.proxies.values()) else ():
+            mean = statistics.fmean(t.tries for t in same)  # tables ordered before this start still stand:
+            for t in same if not any(t.headroom for t in tasks) else ():  # their calls tell the shares
                 t.share = max(mean * (t.tries + FEW) / (mean + FEW), 1.0)
         alike = {kind: (sum(t.spent() for t in same) + FEW * usual) / (sum(t.tries for t in same) + FEW)
                  for kind, same in kinds.items()}
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -569,6 +569,17 @@
     play.matches("heir")
 
 
+def test_fresh_proxies_that_still_wait_for_room_tell_no_shares():
+    play = Play(proxies=0, queue_limit=200.0, applies=False)
+    play.run(0.5)
+    play.hear(*(gp.ProxyJoined(p, 20.0, True, "z") for p in range(20)))
+    play.sums["a"] = (40, 0, 200)
+    play.run(3)
+    tasks = play.brain.tasks.values()
+    assert not all(p.bound for p in play.brain.proxies.values()) and all(t.headroom for t in tasks)
+    assert {t.share for t in tasks} == {1.0}
+
+
 class Relay:
     """Carries orders out, or loses them, as a draw has it; knows what then stands."""
 
