--- a/garnetpaddle/__main__.py
+++ b/garnetpaddle/__main__.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""The command line: `serve` by itself, in as little memory as it can be; all the rest on click."""
 
 import signal
 
@@ -6,48 +6,40 @@
 if __name__ == "__main__":
     signal.signal(signal.SIGHUP, lambda *_: early.append(True))
 
-import argparse  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
 
-from garnetpaddle import __version__  # noqa: E402
+
+def plain(arguments):
+    """The words of a `serve` that needs no help: {"trace": ..., "operator": ...}, else None. click costs
+    4 MB and a fifth of the start, and on the platform `serve` is all that is ever run."""
+    if arguments[:1] != ["serve"]:
+        return None
+    given, rest = {"trace": False, "operator": os.environ.get("GARNET_OPERATOR") or None}, arguments[1:]
+    while rest:
+        word = rest.pop(0)
+        if word == "--trace":
+            given["trace"] = True
+        elif word.startswith("--operator=") and word[11:]:
+            given["operator"] = word[11:]
+        elif word == "--operator" and rest and not rest[0].startswith("-"):
+            given["operator"] = rest.pop(0)
+        else:
+            return None
+    return given
 
 
 def main(arguments=None):
-    parser = argparse.ArgumentParser(
-        prog="garnetpaddle", description="A traffic director for a fleet of sidecars.")
-    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
-    serve = commands.add_parser(
-        "serve", help="run one assigner",
-        description="Runs one assigner until SIGTERM; logs to standard output.",
-        epilog="It is configured by ROUTER_CONFIG (the path of a JSON file) alone; ROUTER_NAME, "
-        "ROUTER_LISTEN and ROUTER_DISCOVERY must agree with it where they are set.")
-    serve.add_argument("--trace", action="store_true", help="print every event and order, for short looks")
-    check = commands.add_parser(
-        "check", help="read a configuration and say what is wrong with it",
-        description="Reads a configuration as serve would, starts nothing; exits 0, or 2 naming the field.")
-    check.add_argument("file", nargs="?", help="the JSON file; ROUTER_CONFIG where left out")
-    commands.add_parser("version", help="print the version")
-    given = parser.parse_args(arguments)
-    if given.command == "version":
-        print(__version__)
-        return 0
-    from garnetpaddle.net import configuration
-
-    path = getattr(given, "file", None) or os.environ.get("ROUTER_CONFIG")
-    try:
-        if not path:
-            raise configuration.Wrong("ROUTER_CONFIG: not set")
-        told = configuration.read(path, os.environ)
-    except configuration.Wrong as error:
-        print(f"garnetpaddle: {error}", file=sys.stderr)
-        return 2
-    if given.command == "check":
-        print(f"{path}: fine; {told.name} listens at {told.listen}, knows {len(told.known.instances)} tasks")
-        return 0
-    from garnetpaddle.net import serve
-
-    return serve.main(told, path, early, given.trace)
+    """Runs a command; returns its exit code."""
+    arguments = sys.argv[1:] if arguments is None else list(arguments)
+    given = plain(arguments)
+    if given is not None:
+        from garnetpaddle.commands.serve import serve
+
+        return serve(given["trace"], given["operator"], early)
+    from garnetpaddle.commands import main as commands
+
+    return commands(arguments, early)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/garnetpaddle/advice/office.py
@@ -0,0 +1,44 @@
+"""What all sessions of one assigner share: the operator's groups and followers, the seats, the sheets."""
+
+from dataclasses import dataclass
+
+from garnetpaddle.advice.roll import Roll
+from garnetpaddle.advice.sheet import Sheets
+from garnetpaddle.book import EMPTY
+
+
+@dataclass(frozen=True, slots=True)
+class Right:
+    """A group's route, by number and in effect: "repeatable", "keyed" or "mutating"."""
+
+    route: int
+    effect: str
+
+
+@dataclass(frozen=True, slots=True)
+class Client:
+    """A follower as the operator states it."""
+
+    name: str
+    groups: tuple[str, ...]
+    retries: str
+    takes: str
+
+
+class Office:
+    """groups: name -> Right; clients: uid as bytes -> Client; grace, warm_after: tenths of a ms; followers:
+    as Roll takes them. sessions: connection -> the session that has a seat, kept by the sessions."""
+
+    def __init__(self, groups, clients, followers, grace, warm_after, started_at):
+        self.groups, self.clients, self.grace = groups, clients, grace
+        self.roll, self.sheets = Roll(followers, started_at), Sheets(warm_after)
+        self.sessions, self.reading = {}, EMPTY
+
+    def seated(self, uid):
+        """The session of the follower with this uid, or None."""
+        client = self.clients.get(uid)
+        seat = self.roll.seats.get(client.name) if client else None
+        return self.sessions.get(seat.sitting) if seat and seat.sitting is not None else None
+
+    def number(self, name):
+        return self.roll.seats[name].number
--- a/garnetpaddle/boot/told.py
+++ b/garnetpaddle/boot/told.py
@@ -10,6 +10,7 @@
     promise: float
     name: str
     gain: float = 1.0
+    effect: str = ""  # of a call on what it changes; only further fronts read it
 
 
 class Ceilings(msgspec.Struct):
@@ -22,6 +23,7 @@
     cold: float
     must_ask_in: float = 10.0
     dropped_stay_open: bool = False
+    stop_sending_within: float = 3.0  # the grace for drains; only further fronts read it
 
 
 class Specifics(msgspec.Struct):
--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -78,7 +78,7 @@
 
 class Proxy:
     def __init__(self, joined, messages):
-        self.rate, self.fresh = max(0.1, joined.rate), joined.fresh
+        self.rate, self.fresh, self.aside = max(0.1, joined.rate), joined.fresh, joined.aside
         self.bound, self.messages = False, messages
 
 
@@ -164,7 +164,7 @@
         orders.append(gp.Watch())
 
     def heard_join(self, now, event):
-        if not self.proxies:
+        if not (self.proxies if event.aside else self.channel()):
             self.since, self.covered, self.pending = now, {}, []
             self.effect, self.awaited = {"weights": now, "levels": now}, {}  # chance tables are even ones
         self.proxies[event.proxy] = Proxy(event, getattr(self.proxies.get(event.proxy), "messages", []))
@@ -173,8 +173,13 @@
         self.proxies.pop(event.proxy, None)
         self.settle(now, event.proxy, self.mark)
 
+    def channel(self):
+        """The proxies behind the channel. Followers aside take the same lines, but no sums are heard of them:
+        they don't fill the queue, their answers don't empty it, and no step waits for one that stalls."""
+        return [p for p in self.proxies.values() if not p.aside]
+
     def heard_applied(self, now, event):
-        if event.mark in self.sent:
+        if event.mark in self.sent and not getattr(self.proxies.get(event.proxy), "aside", False):
             # Messages leave in order: what was written before this one has left the channel.
             reply = self.sent[event.mark]
             reply[0] += reply[1]
@@ -211,7 +216,7 @@
                     del self.awaited[what]
 
     def calls(self):
-        return sum(p.rate for p in self.proxies.values())
+        return sum(p.rate for p in self.channel())
 
     def heard_sums(self, now, event):
         if event.task in self.tasks and event.span <= now - self.since + self.terms.report_period:
@@ -318,7 +323,7 @@
         usual = sum(t.spent() for t in tasks) / sum(t.tries for t in tasks)
         # Tasks listed as of one kind tell of each other: a thin reading is pulled to its kind's average.
         kinds = {kind: [t for t in tasks if t.kind == kind] for kind in sorted({t.kind for t in tasks})}
-        for same in kinds.values() if any(not (p.bound or p.fresh) for p in self.proxies.values()) else ():
+        for same in kinds.values() if any(not (p.bound or p.fresh) for p in self.channel()) else ():
             mean = statistics.fmean(t.tries for t in same)  # tables ordered before this start still stand:
             for t in same if not any(t.headroom for t in tasks) else ():  # their calls tell the shares
                 t.share = max(mean * (t.tries + FEW) / (mean + FEW), 1.0)
@@ -409,7 +414,7 @@
         return full | {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
 
     def part(self, now, ready):  # where all tasks for all proxies overrun the channel, each orders a part
-        it, even, size = self.terms, 1 / self.terms.assigners, len(self.proxies) / self.terms.proxies
+        it, even, size = self.terms, 1 / self.terms.assigners, len(self.channel()) / self.terms.proxies
         if it.proxies * even * (self.fleet + it.head_lines) <= it.queue_limit or max(size, even) >= 1:
             return ready
         ready, first = sorted(ready, key=lambda t: t.id), round(len(ready) * it.rank / it.assigners)
@@ -420,7 +425,7 @@
         return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
     def spread_thin(self, ready):  # a proxy meets each task too seldom to avoid any: none is crowded
-        each = self.calls() / max(len(self.proxies), 1) / max(len(ready), 1)
+        each = self.calls() / max(len(self.channel()), 1) / max(len(ready), 1)
         return not self.terms.strikes or self.terms.strikes / max(each, 0.001) > THIN
 
     def ramp(self, now, task):
@@ -452,7 +457,7 @@
         heir = now - self.since < HEIR and not any(t.headroom for t in self.tasks.values())
         held = [p for p in joining if heir and not self.proxies[p].fresh]
         joining = [p for p in joining if not heir or self.proxies[p].fresh]
-        bound = [proxy for proxy in self.proxies.values() if proxy.bound is not False]  # None: in doubt
+        bound = [proxy for proxy in self.channel() if proxy.bound is not False]  # None: in doubt
         start, fit = self.written, self.fits(now, changes, bound)
         for urgency, _, k, weight in changes[:fit]:
             self.pushed_at[urgency] = now if bound else self.pushed_at[urgency]
@@ -483,13 +488,13 @@
             orders.append(gp.Bind(p, self.table))
             self.proxies[p].bound = True
             least = min(least, self.write(now, lines, [self.proxies[p]]))
-        self.shut_out(now, [self.proxies[p] for p in joining + held], orders)
+        self.shut_out(now, [x for p in joining + held if not (x := self.proxies[p]).aside], orders)
         if self.written > start:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
             self.sent[self.mark] = [start, least, self.written - start]
             self.sent.pop((self.mark - 64) % 65_536, None)
-        waiting = {p: self.proxies[p].rate for p in reached}
+        waiting = {p: x.rate for p in reached if not (x := self.proxies[p]).aside}
         if news:
             self.effect["levels"], self.awaited["levels"] = 0, (self.mark, dict(waiting))
         if not self.effect["weights"] and "weights" not in self.awaited and fit == len(changes):
@@ -528,6 +533,7 @@
 
     def write(self, now, lines, proxies):
         cost, self.moved_at = lines + self.terms.head_lines + 1, self.moved_at if self.queue else now
+        proxies = [p for p in proxies if not p.aside]
         self.queue, self.written = self.queue + len(proxies) * cost, self.written + len(proxies) * cost
         for proxy in proxies:
             proxy.messages = [*proxy.messages[-98:], now]
--- a/garnetpaddle/interface/events.py
+++ b/garnetpaddle/interface/events.py
@@ -43,6 +43,7 @@
     rate: float  # calls a second it usually gets
     fresh: bool  # it holds only its standing table
     zone: str
+    aside: bool = False  # an outside follower: what it is told does not go through the channel
 
 
 @dataclass(frozen=True, slots=True)
--- a/garnetpaddle/net/owner.py
+++ b/garnetpaddle/net/owner.py
@@ -18,10 +18,12 @@
 
 
 class Owner:
-    """outlets: table(reply), probe(order), watch()."""
+    """outlets: table(reply), probe(order), watch(). after: called with each batch, what was heard in it and
+    what was ordered, where something follows that beside the outlets."""
 
-    def __init__(self, brain, now, outlets, quantum=0.0, trace=False):
+    def __init__(self, brain, now, outlets, quantum=0.0, trace=False, after=None):
         self.brain, self.now, self.outlets, self.quantum, self.trace = brain, now, outlets, quantum, trace
+        self.after = after
         self.heard, self.wake, self.timers, self.serial = [], asyncio.Event(), [], 0
 
     def hear(self, event):
@@ -66,6 +68,8 @@
                     reply.append(order)
         if reply:
             self.outlets.table(reply)
+        if self.after:
+            self.after(now, events, orders)
 
     def tell(self, now, events, orders):
         for each in (*events, *orders):
--- a/garnetpaddle/net/serve.py
+++ b/garnetpaddle/net/serve.py
@@ -49,7 +49,16 @@
     lines.error("loop_fault", why=context.get("message", ""), exc_info=context.get("exception"))
 
 
-async def run(given, path, early, trace):
+def fronts_of(plan, told, terms, places, owner):
+    """The operator's fronts; without a file of the operator's nothing of theirs is even imported."""
+    from garnetpaddle.fronts import Fronts
+
+    fronts = Fronts(plan, told, terms, places, owner.now, owner.hear)
+    owner.after = fronts.turn
+    return fronts
+
+
+async def run(given, path, early, trace, plan=None):
     loop = asyncio.get_running_loop()
     told, seed = given.settings, configuration.seed(given)
     known = codec.Known(
@@ -65,6 +74,9 @@
     probes = Probes(places, owner.hear, told.reporting.how != "none", int(room * PROBES_PART))
     watch = Discovery(address(given.discovery, "discovery"), places, owner.hear, told.discovery == "ask")
     outlets.table, outlets.probe, outlets.watch = lane.put, probes.start, watch.ask
+    fronts = fronts_of(plan, told, terms, places, owner) if plan else None
+    if fronts:
+        outlets.table = lambda reply: lane.put(kept) if (kept := fronts.relays(reply)) else None
     owner.hear(gp.ListHeard("stale", task_lines(given.known)))
 
     def moved(relay):
@@ -82,11 +94,12 @@
         reload.asked.set()
     listener = Listener(owner.hear, known, int(room * PEERS_PART))
     await listener.open(address(given.listen, "listen"))
-    stages = [
-        asyncio.create_task(lasting(name, stage.run))
-        for name, stage in (
-            ("discovery", watch), ("news", news), ("calls", lane), ("listener", listener), ("reload", reload))
-    ]
+    running = [
+        ("discovery", watch), ("news", news), ("calls", lane), ("listener", listener), ("reload", reload)]
+    if fronts:
+        await fronts.open()
+        running.append(("fronts", fronts))
+    stages = [asyncio.create_task(lasting(name, stage.run)) for name, stage in running]
     deciding, stopping = asyncio.create_task(owner.run()), asyncio.create_task(stop.wait())
     lines.info("serving", listen=given.listen, tasks=len(given.known.instances))
     await asyncio.wait([deciding, stopping], return_when=asyncio.FIRST_COMPLETED)
@@ -98,11 +111,11 @@
     return 1
 
 
-def main(given, path, early=(), trace=False):
-    """Serves until SIGTERM; `early` says whether a SIGHUP has come already."""
+def main(given, path, early=(), trace=False, plan=None):
+    """Serves until SIGTERM; `early` says whether a SIGHUP has come already. plan: the operator's, if any."""
     log.begin(given.name)
     try:
-        return asyncio.run(run(given, path, early, trace))
+        return asyncio.run(run(given, path, early, trace, plan))
     except OSError as error:
         lines.error("cannot_listen", listen=given.listen, why=error.strerror or str(error))
         return 1
--- /dev/null
+++ b/garnetpaddle/sasp/codec.py
@@ -0,0 +1,361 @@
+"""RFC 4678 between bytes and messages. No I/O. What can't be read is a value, with the id to answer to."""
+
+import struct
+from dataclasses import dataclass
+
+from garnetpaddle.sasp import messages as m
+from garnetpaddle.sasp.constants import LB_FLAG, NO_CHANGE, PUSH, QUIESCED, TRUST, VERSION, Code, Kind, Part
+
+HEADER = struct.Struct("!HHBII")  # section 5.1: type, length, version, message length, message id
+HEAD = struct.Struct("!HH")  # type and length of a component
+MEMBER = struct.Struct("!HHBH16sB")  # section 5.2, up to the label
+ENTRY = struct.Struct("!HHBBH")  # section 5.4, what is not the member
+STATE = struct.Struct("!HHBB")  # section 5.5, likewise
+KINDS = frozenset(Kind)
+LONGEST = 0xFFFF  # of a component's length
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """What can't be read. id: of the message, None where not even a header was read; over: the stream is
+    lost with it, as its next message can't be found."""
+
+    why: str
+    id: int | None = None
+    kind: int | None = None
+    over: bool = False
+
+
+class Wrong(ValueError):
+    pass
+
+
+class Unsayable(ValueError):
+    """A message that the wire has no room for."""
+
+
+class Frames:
+    """Cuts a stream into messages. most: bytes of the longest that is taken in; a longer one, or a header
+    that can't be, is Broken(over=True), and nothing is read after it. Never holds more than `most` bytes."""
+
+    def __init__(self, most):
+        self.most, self.rest, self.lost = most, bytearray(), False
+
+    def feed(self, chunk):
+        """The messages that this chunk completes, as Message or Broken."""
+        if self.lost:
+            return
+        self.rest += chunk
+        at = 0
+        while len(self.rest) - at >= HEADER.size:
+            kind, length, version, size, number = HEADER.unpack_from(self.rest, at)
+            why = ""
+            if (kind, length) != (Part.HEADER, HEADER.size):
+                why = f"no header: 0x{kind:04x}, length {length}"
+            elif version != VERSION:
+                why = f"version {version}"
+            elif size < HEADER.size + HEAD.size:
+                why = f"message length {size}"
+            elif size > self.most:
+                why = f"message of {size} bytes, over {self.most}"
+            if why:
+                self.lost, self.rest = True, bytearray()
+                known = number if (kind, length) == (Part.HEADER, HEADER.size) else None
+                yield Broken(why, known, over=True)
+                return
+            if len(self.rest) - at < size:
+                break
+            yield decode(memoryview(bytes(self.rest[at + HEADER.size:at + size])), number)
+            at += size
+        del self.rest[:at]
+
+    def half(self):
+        """Whether a message has begun and not ended."""
+        return bool(self.rest)
+
+
+class Cursor:
+    """Reads components in turn; every length is held against what is there."""
+
+    def __init__(self, view):
+        self.view, self.at, self.nested = view, 0, False
+
+    def take(self, form):
+        if self.at + form.size > len(self.view):
+            raise Wrong(f"cut short at byte {self.at}")
+        values = form.unpack_from(self.view, self.at)
+        self.at += form.size
+        return values
+
+    def bytes(self, count):
+        if self.at + count > len(self.view):
+            raise Wrong(f"cut short at byte {self.at}")
+        self.at += count
+        return bytes(self.view[self.at - count:self.at])
+
+    def head(self, kind):
+        """A component's begin and stated length; its type must be this one."""
+        begin = self.at
+        got, length = self.take(HEAD)
+        if got != kind:
+            raise Wrong(f"0x{got:04x} where 0x{kind:04x} is due, at byte {begin}")
+        return begin, length
+
+    def ends(self, begin, length, own):
+        """Holds a length against a component that ends here: its own part, or all that is nested too."""
+        if length == own:
+            return
+        if length != self.at - begin:
+            raise Wrong(f"length {length} of a component of {own}, at byte {begin}")
+        self.nested = True
+
+
+def decode(view, number):
+    """A message's components, behind the header, as a Message, or Broken."""
+    kind = None
+    try:
+        kind = int.from_bytes(view[:2], "big")
+        if kind not in READ:
+            raise Wrong(f"unknown message 0x{kind:04x}")
+        cursor = Cursor(view)
+        begin, length = cursor.head(kind)
+        message = READ[kind](cursor, number, begin, length)
+        if cursor.at != len(view):
+            raise Wrong(f"{len(view) - cursor.at} bytes too many")
+        return message
+    except Wrong as error:
+        return Broken(str(error), number, kind)
+
+
+def read_member(c):
+    begin = c.at
+    kind, length, protocol, port, address, size = c.take(MEMBER)
+    if kind != Part.MEMBER:
+        raise Wrong(f"0x{kind:04x} where member data is due, at byte {begin}")
+    label = c.bytes(size)
+    if length != c.at - begin:
+        raise Wrong(f"length {length} of member data, at byte {begin}")
+    return m.MemberData(protocol, port, address, label)
+
+
+def read_group(c):
+    begin, length = c.head(Part.GROUP)
+    uid = c.bytes(c.bytes(1)[0])
+    name = c.bytes(c.bytes(1)[0])
+    if length != c.at - begin:
+        raise Wrong(f"length {length} of group data, at byte {begin}")
+    return m.GroupName(uid, name)
+
+
+def read_entry(c):
+    begin, length = c.head(Part.WEIGHT_ENTRY)
+    member = read_member(c)
+    state, flags, weight = c.take(ENTRY_REST)
+    c.ends(begin, length, ENTRY.size)
+    return m.WeightEntry(member, weight, flags, state)
+
+
+def read_state(c):
+    begin, length = c.head(Part.STATE_ENTRY)
+    member = read_member(c)
+    state, flags = c.take(STATE_REST)
+    c.ends(begin, length, STATE.size)
+    return m.StateEntry(member, state, bool(flags & QUIESCED))
+
+
+ENTRY_REST, STATE_REST, COUNT = struct.Struct("!BBH"), struct.Struct("!BB"), struct.Struct("!H")
+
+
+def read_list(c, kind, item):
+    begin, length = c.head(kind)
+    (count,) = c.take(COUNT)
+    group = read_group(c)
+    items = tuple(item(c) for _ in range(count))
+    c.ends(begin, length, HEAD.size + COUNT.size)
+    return group, items
+
+
+def read_lists(c, count, kind, item):
+    return tuple(read_list(c, kind, item) for _ in range(count))
+
+
+def read_register(c, number, begin, length):
+    flags, count = c.take(struct.Struct("!BH"))
+    groups = read_lists(c, count, Part.MEMBERS_OF_GROUP, read_member)
+    c.ends(begin, length, 7)
+    return m.Register(number, bool(flags & LB_FLAG), groups, c.nested)
+
+
+def read_deregister(c, number, begin, length):
+    flags, reason, count = c.take(struct.Struct("!BBH"))
+    groups = read_lists(c, count, Part.MEMBERS_OF_GROUP, read_member)
+    c.ends(begin, length, 8)
+    return m.Deregister(number, bool(flags & LB_FLAG), reason, groups, c.nested)
+
+
+def read_get(c, number, begin, length):
+    (count,) = c.take(COUNT)
+    groups = tuple(read_group(c) for _ in range(count))
+    c.ends(begin, length, 6)
+    return m.GetWeights(number, groups, c.nested)
+
+
+def read_weights(c, number, begin, length):
+    code, interval, count = c.take(struct.Struct("!BHH"))
+    groups = read_lists(c, count, Part.WEIGHTS_OF_GROUP, read_entry)
+    c.ends(begin, length, 9)
+    return m.Weights(number, code, interval, groups, c.nested)
+
+
+def read_send(c, number, begin, length):
+    (count,) = c.take(COUNT)
+    groups = read_lists(c, count, Part.WEIGHTS_OF_GROUP, read_entry)
+    c.ends(begin, length, 6)
+    return m.SendWeights(number, groups, c.nested)
+
+
+def read_lb_state(c, number, begin, length):
+    uid = c.bytes(c.bytes(1)[0])
+    health, flags = c.take(STATE_REST)
+    c.ends(begin, length, c.at - begin)
+    return m.SetLbState(number, uid, health, bool(flags & PUSH), bool(flags & TRUST), bool(flags & NO_CHANGE),
+                        c.nested)
+
+
+def read_member_state(c, number, begin, length):
+    flags, count = c.take(struct.Struct("!BH"))
+    groups = read_lists(c, count, Part.STATES_OF_GROUP, read_state)
+    c.ends(begin, length, 7)
+    return m.SetMemberState(number, bool(flags & LB_FLAG), groups, c.nested)
+
+
+def read_reply(kind):
+    def read(c, number, begin, length):
+        (code,) = c.bytes(1)
+        c.ends(begin, length, 5)
+        return m.Reply(number, kind, code, c.nested)
+
+    return read
+
+
+READ = {
+    Kind.REGISTER: read_register, Kind.DEREGISTER: read_deregister, Kind.GET_WEIGHTS: read_get,
+    Kind.WEIGHTS: read_weights, Kind.SEND_WEIGHTS: read_send, Kind.SET_LB_STATE: read_lb_state,
+    Kind.SET_MEMBER_STATE: read_member_state,
+} | {kind: read_reply(kind) for kind in (Kind.REGISTER_REPLY, Kind.DEREGISTER_REPLY, Kind.SET_LB_STATE_REPLY,
+                                        Kind.SET_MEMBER_STATE_REPLY)}
+
+
+def component(kind, own, inner, nested):
+    """own: the component's fields behind its length; inner: components nested in it, as bytes."""
+    length = HEAD.size + len(own) + (len(inner) if nested else 0)
+    if length > LONGEST:
+        raise Unsayable(f"a component of {length} bytes, where 65535 are the most")
+    return HEAD.pack(kind, length) + own + inner
+
+
+def member(it):
+    """A member's bytes: also its name among the members of a group."""
+    if len(it.label) > 255:
+        raise Unsayable("a label over 255 bytes")
+    size = MEMBER.size + len(it.label)
+    return MEMBER.pack(Part.MEMBER, size, it.protocol, it.port, it.address, len(it.label)) + it.label
+
+
+def group(it):
+    if len(it.uid) > 255 or len(it.name) > 255:
+        raise Unsayable("a name over 255 bytes")
+    own = bytes([len(it.uid)]) + it.uid + bytes([len(it.name)]) + it.name
+    return component(Part.GROUP, own, b"", False)
+
+
+def entry(of, state, flags, weight, nested):
+    """A weight entry; of: the member's bytes."""
+    length = ENTRY.size + (len(of) if nested else 0)
+    return HEAD.pack(Part.WEIGHT_ENTRY, length) + of + ENTRY_REST.pack(state, flags, weight)
+
+
+def state_entry(it, nested):
+    of = member(it.member)
+    length = STATE.size + (len(of) if nested else 0)
+    return HEAD.pack(Part.STATE_ENTRY, length) + of + STATE_REST.pack(it.state, QUIESCED * it.quiesced)
+
+
+def listed(kind, name, items, nested):
+    """A group with its items, each as bytes."""
+    if len(items) > LONGEST:
+        raise Unsayable("over 65535 members")
+    return component(kind, COUNT.pack(len(items)), group(name) + b"".join(items), nested)
+
+
+def members(groups, nested):
+    return [listed(Part.MEMBERS_OF_GROUP, name, [member(x) for x in items], nested) for name, items in groups]
+
+
+def entries(groups, nested):
+    return [listed(Part.WEIGHTS_OF_GROUP, name,
+                   [entry(member(x.member), x.state, x.flags, x.weight, nested) for x in items], nested)
+            for name, items in groups]
+
+
+def framed(number, kind, own, inner, nested):
+    """A whole message. own, inner: as in component; inner: a list."""
+    body = component(kind, own, b"".join(inner), nested)
+    return HEADER.pack(Part.HEADER, HEADER.size, VERSION, HEADER.size + len(body), number) + body
+
+
+def weights(number, code, interval, groups, nested):
+    """Get Weights' reply. groups: as bytes, made by `listed`."""
+    return framed(number, Kind.WEIGHTS, struct.pack("!BHH", code, interval, len(groups)), groups, nested)
+
+
+def send_weights(number, groups, nested):
+    return framed(number, Kind.SEND_WEIGHTS, COUNT.pack(len(groups)), groups, nested)
+
+
+def encode(message):
+    """A message's bytes; raises Unsayable."""
+    nested = message.nested
+    match message:
+        case m.Reply():
+            return framed(message.id, message.kind, bytes([message.code]), [], nested)
+        case m.Register():
+            own = struct.pack("!BH", LB_FLAG * message.lb, len(message.groups))
+            return framed(message.id, Kind.REGISTER, own, members(message.groups, nested), nested)
+        case m.Deregister():
+            own = struct.pack("!BBH", LB_FLAG * message.lb, message.reason, len(message.groups))
+            return framed(message.id, Kind.DEREGISTER, own, members(message.groups, nested), nested)
+        case m.GetWeights():
+            own = COUNT.pack(len(message.groups))
+            return framed(message.id, Kind.GET_WEIGHTS, own, [group(g) for g in message.groups], nested)
+        case m.Weights():
+            groups = entries(message.groups, nested)
+            return weights(message.id, message.code, message.interval, groups, nested)
+        case m.SendWeights():
+            return send_weights(message.id, entries(message.groups, nested), nested)
+        case m.SetLbState():
+            flags = PUSH * message.push | TRUST * message.trust | NO_CHANGE * message.no_change
+            own = bytes([len(message.uid)]) + message.uid + bytes([message.health, flags])
+            return framed(message.id, Kind.SET_LB_STATE, own, [], nested)
+        case m.SetMemberState():
+            groups = [listed(Part.STATES_OF_GROUP, name, [state_entry(x, nested) for x in items], nested)
+                      for name, items in message.groups]
+            own = struct.pack("!BH", LB_FLAG * message.lb, len(groups))
+            return framed(message.id, Kind.SET_MEMBER_STATE, own, groups, nested)
+    raise TypeError(f"no message: {message!r}")
+
+
+REPLIES = {
+    Kind.REGISTER: Kind.REGISTER_REPLY, Kind.DEREGISTER: Kind.DEREGISTER_REPLY,
+    Kind.SET_LB_STATE: Kind.SET_LB_STATE_REPLY, Kind.SET_MEMBER_STATE: Kind.SET_MEMBER_STATE_REPLY,
+}
+
+
+def not_understood(broken):
+    """The answer to a message that can't be read, in the reply of its kind; b"" where none has an id."""
+    if broken.id is None:
+        return b""
+    if broken.kind == Kind.GET_WEIGHTS:
+        return weights(broken.id, Code.NOT_UNDERSTOOD, 0, [], False)
+    kind = REPLIES.get(broken.kind, Kind.REGISTER_REPLY)
+    return encode(m.Reply(broken.id, kind, Code.NOT_UNDERSTOOD))
--- /dev/null
+++ b/garnetpaddle/sasp/messages.py
@@ -0,0 +1,138 @@
+"""The messages of RFC 4678 as values. Bytes as they are on the wire where they only name something."""
+
+import ipaddress
+from dataclasses import dataclass, field
+
+from garnetpaddle.sasp.constants import Code, Kind
+
+MAPPED = bytes(10) + b"\xff\xff"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberData:
+    """Section 5.2. address: 16 bytes, IPv4 mapped (or compatible, as some write it)."""
+
+    protocol: int  # as in IP: 6 is TCP
+    port: int
+    address: bytes
+    label: bytes = b""
+
+    @classmethod
+    def of(cls, host, port, label="", protocol=6):
+        """host: an IPv4 or IPv6 address in text; raises ValueError."""
+        ip = ipaddress.ip_address(host)
+        packed = MAPPED + ip.packed if ip.version == 4 else ip.packed
+        return cls(protocol, port, packed, label.encode())
+
+    @property
+    def place(self):
+        """(host, port) as the list writes it."""
+        ip = ipaddress.IPv6Address(self.address)
+        small = self.address[:12] == bytes(12) and self.address[12:15] != bytes(3)
+        if ip.ipv4_mapped or small:
+            return str(ipaddress.IPv4Address(self.address[12:])), self.port
+        return str(ip), self.port
+
+
+@dataclass(frozen=True, slots=True)
+class GroupName:
+    """Group data, section 5.3: a group belongs to a balancer."""
+
+    uid: bytes
+    name: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WeightEntry:
+    """Section 5.4."""
+
+    member: MemberData
+    weight: int
+    flags: int
+    state: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StateEntry:
+    """Section 5.5."""
+
+    member: MemberData
+    state: int
+    quiesced: bool
+
+
+Members = tuple[tuple[GroupName, tuple[MemberData, ...]], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    id: int
+    lb: bool
+    groups: Members
+    nested: bool = field(default=False, compare=False)  # its lengths count what is nested; see constants
+
+
+@dataclass(frozen=True, slots=True)
+class Deregister:
+    id: int
+    lb: bool
+    reason: int
+    groups: Members
+    nested: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class GetWeights:
+    id: int
+    groups: tuple[GroupName, ...]
+    nested: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class SetLbState:
+    id: int
+    uid: bytes
+    health: int
+    push: bool
+    trust: bool
+    no_change: bool
+    nested: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class SetMemberState:
+    id: int
+    lb: bool
+    groups: tuple[tuple[GroupName, tuple[StateEntry, ...]], ...]
+    nested: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Weights:
+    """The reply to Get Weights."""
+
+    id: int
+    code: Code | int
+    interval: int  # s
+    groups: tuple[tuple[GroupName, tuple[WeightEntry, ...]], ...]
+    nested: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class SendWeights:
+    id: int
+    groups: tuple[tuple[GroupName, tuple[WeightEntry, ...]], ...]
+    nested: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A reply that holds a code alone. kind: Kind.*_REPLY but WEIGHTS."""
+
+    id: int
+    kind: Kind
+    code: Code | int
+    nested: bool = field(default=False, compare=False)
+
+
+Message = (Register | Deregister | GetWeights | SetLbState | SetMemberState | Weights | SendWeights | Reply)
