--- a/garnetpaddle/advice/rights.py
+++ b/garnetpaddle/advice/rights.py
@@ -22,6 +22,6 @@
                 "tries a call again that may have run")
     if level.part <= 0 and not standing:
         return "nothing of the route is let in now"
-    if effect == "mutating" and retries == "on proof" and level.tries == "none" and not standing:
+    if effect != "keyed" and retries == "on proof" and level.tries == "none" and not standing:
         return "no call of the route is tried again now, and the follower would"
     return ""
--- a/garnetpaddle/book/keeper.py
+++ b/garnetpaddle/book/keeper.py
@@ -49,7 +49,7 @@
     """A table as it is being written."""
 
     def __init__(self):
-        self.lines, self.levels, self.former = {}, {}, {}
+        self.lines, self.levels, self.former, self.stale = {}, {}, {}, False
 
     def frozen(self, number):
         lines = {k: line.weight() for k, line in self.lines.items() if line.weight() > 0}
@@ -85,8 +85,8 @@
         old, new = self.reading, {}
         if "tables" in self.changed:
             bound = {t: True for t in self.bound.values()}
-            for number in [n for n in self.sheets if n not in bound and n != self.newest]:
-                del self.sheets[number]
+            self.sheets = {n: sheet for n, sheet in self.sheets.items()
+                           if n in bound or n == self.newest or not sheet.stale}
             tables = {n: sheet.frozen(n) for n, sheet in self.sheets.items() if sheet.lines}
             new["tables"] = MappingProxyType(tables)
         if "bound" in self.changed:
@@ -112,6 +112,7 @@
                     self.lose(order, event.perhaps)
             case gp.OrdersInDoubt():
                 for sheet in self.sheets.values():
+                    sheet.stale = True  # the Brain lays another table, and binds all to that
                     for line in sheet.lines.values():
                         line.doubt = True
                 self.bound = {}
--- a/garnetpaddle/client/follow.py
+++ b/garnetpaddle/client/follow.py
@@ -4,7 +4,7 @@
 
 from garnetpaddle.sasp import codec
 from garnetpaddle.sasp import messages as m
-from garnetpaddle.sasp.constants import CONFIDENT, CONTACT, QUIESCE, Code, Kind
+from garnetpaddle.sasp.constants import CONFIDENT, CONTACT, QUIESCE, Code
 
 SECOND = 10_000
 REPLY = 5 * SECOND  # a request unanswered so long: the manager is gone, whatever the connection says
@@ -96,6 +96,13 @@
     code: int
 
 
+def weight(entry):
+    host, port = entry.member.place
+    label = entry.member.label.decode("utf-8", "replace")
+    return Weight(host, port, label, entry.weight, bool(entry.flags & CONTACT), bool(entry.flags & QUIESCE),
+                  bool(entry.flags & CONFIDENT))
+
+
 class Follow:
     """handle(now, event) -> actions. Advice outlives a connection: a lost manager's last word stands until
     another comes. push: weights as they change, else polls as often as the manager says. answers: each
@@ -105,7 +112,7 @@
     def __init__(self, uid, groups, uniform, push=True, no_change=True, trust=False, answers=True):
         self.uid, self.uniform = uid.encode(), uniform
         self.push, self.no_change, self.trust, self.answers = push, no_change, trust, answers
-        self.groups = {name: {codec.member(data): data for data in members} for name, members in groups.items()}
+        self.groups = {name: {codec.member(x): x for x in members} for name, members in groups.items()}
         self.quiesced = {}  # (group, key) -> True: said by us
         self.tables = {name: {} for name in groups}  # group -> key -> Weight
         self.state, self.fails, self.refusals, self.serial, self.number = "away", 0, 0, 0, 0
@@ -177,7 +184,7 @@
                 elif isinstance(message, m.Weights):
                     self.interval = max(message.interval, 1) * SECOND
                     self.take(now, message.groups, True, out)
-                    if not self.push or not all(self.tables[g] for g, members in self.groups.items() if members):
+                    if not self.push or not all(self.tables[g] for g, held in self.groups.items() if held):
                         self.next = now + self.interval
                 elif request == "register":
                     self.state, self.fails, self.refusals = "following", 0, 0
@@ -205,10 +212,7 @@
             for entry in entries:
                 key = codec.member(entry.member)
                 if key in self.groups[group]:
-                    host, port = entry.member.place
-                    told[key] = Weight(host, port, entry.member.label.decode("utf-8", "replace"), entry.weight,
-                                       bool(entry.flags & CONTACT), bool(entry.flags & QUIESCE),
-                                       bool(entry.flags & CONFIDENT))
+                    told[key] = weight(entry)
             self.tables[group] |= told
             self.serial += 1
             out.append(Update(group, tuple(self.tables[group].values()), self.serial, now))
--- a/garnetpaddle/client/shell.py
+++ b/garnetpaddle/client/shell.py
@@ -1,4 +1,4 @@
-"""The asyncio shell round a client's state machine: one connection, one timer, updates as an async iterator."""
+"""The asyncio shell round a client's state machine: one connection, one timer, updates to iterate over."""
 
 import asyncio
 import random
--- a/garnetpaddle/sasp/session.py
+++ b/garnetpaddle/sasp/session.py
@@ -55,7 +55,7 @@
             if message.over:
                 self.close(now, "unreadable", out)
             return
-        self.nested = message.nested
+        self.nested = self.nested or message.nested  # a peer keeps to one form; short messages show none
         try:
             answer = self.answer(now, message, out)
         except Refused as refused:
@@ -203,6 +203,9 @@
                 self.own(data)
             held = session.groups[name.name]
             copy = replace(held, members=dict(held.members))
+            for key in map(codec.member, members):  # one that had left comes back
+                if key in copy.members and copy.members[key].quiesced:
+                    del copy.members[key]
             session.add(copy, members)
             if len(copy.members) - len(held.members) + sum(
                     len(h.members) for h in session.groups.values()) > session.most:
@@ -329,7 +332,8 @@
             if known == stamp:
                 told |= wanted
         drained = [task for task in self.feed.unsent(sheet.closed) if self.tells(told, task, sheet)]
-        self.record(now, sheet, told, drained)
+        if told:
+            self.record(now, sheet, told, drained)
         if told.keys() == self.groups.keys():
             self.looked = sheet.generation, self.version()
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -107,6 +107,7 @@
         self.last = orders = self.brain.handle(self.now, events)
         to_all = any(isinstance(o, gp.SetLine | gp.Admit) for o in orders)
         reached = self.brain.proxies if to_all else [o.proxy for o in orders if isinstance(o, gp.Bind)]
+        reached = [p for p in reached if not self.brain.proxies[p].aside]
         for o in orders:
             match o:
                 case gp.SetLine():
