--- a/garnetpaddle/advice/acts.py
+++ b/garnetpaddle/advice/acts.py
@@ -19,6 +19,13 @@
     half: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Waited:
+    """What the client said waited here for so long before we read it: that is no silence of its own."""
+
+    span: int
+
+
 @dataclass(frozen=True, slots=True)
 class News:
     reading: Reading
--- a/garnetpaddle/advice/office.py
+++ b/garnetpaddle/advice/office.py
@@ -25,6 +25,9 @@
     takes: str
 
 
+ALIKE_MOST = 4_096  # sets of members that are remembered
+
+
 class Office:
     """groups: name -> Right; clients: uid as bytes -> Client; grace, warm_after: tenths of a ms; followers:
     as Roll takes them. sessions: connection -> the session that has a seat, kept by the sessions."""
@@ -33,6 +36,7 @@
         self.groups, self.clients, self.grace = groups, clients, grace
         self.roll, self.sheets = Roll(followers, started_at), Sheets(warm_after)
         self.sessions, self.reading = {}, EMPTY
+        self.serial, self.alike = 0, {}  # members -> a number: followers with the same are told alike
 
     def seated(self, uid):
         """The session of the follower with this uid, or None."""
@@ -40,5 +44,19 @@
         seat = self.roll.seats.get(client.name) if client else None
         return self.sessions.get(seat.sitting) if seat and seat.sitting is not None else None
 
+    def likeness(self, members):
+        """A number that all groups of the same members share; None where one is quiesced by its own word."""
+        if any(member.quiesced for member in members.values()):
+            return None
+        if len(self.alike) > ALIKE_MOST:
+            self.alike.clear()
+        same = tuple((key, member.task) for key, member in members.items())
+        return self.alike.setdefault(same, self.next())
+
+    def next(self):
+        """A number not given before: no two states of a session's groups have one version."""
+        self.serial += 1
+        return self.serial
+
     def number(self, name):
         return self.roll.seats[name].number
--- a/garnetpaddle/advice/sheet.py
+++ b/garnetpaddle/advice/sheet.py
@@ -1,14 +1,14 @@
 """What a member is told, worked out once a generation for all followers of a table."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from types import MappingProxyType
+from typing import NamedTuple
 
 from garnetpaddle.advice.scale import Scale
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(NamedTuple):
     """What is told of one member."""
 
     weight: int  # 0 to 65535
@@ -50,6 +50,7 @@
     closed: Mapping[str, int]  # task -> since when it drains or is gone
     levels: Mapping = field(default_factory=dict)  # by route: book.Level
     warm: Mapping[str, bool] = field(default_factory=dict)
+    shared: dict = field(default_factory=dict, compare=False)  # what sessions work out alike; see Sitting
 
     def entry(self, task):
         return self.entries.get(task, UNKNOWN)
@@ -104,9 +105,9 @@
         return told
     some = False
     for key, member in members.items():
-        entry = sheet.entry(member.at(sheet))
+        entry = sheet.entries.get(member.task) or sheet.entry(member.at(sheet))
         if entry.weight and (member.quiesced or not let_in):
-            entry = replace(entry, weight=0, quiesced=True)
+            entry = entry._replace(weight=0, quiesced=True)
         some = some or entry.weight > 0
         told[key] = entry
     if not some and let_in:
--- a/garnetpaddle/advice/sitting.py
+++ b/garnetpaddle/advice/sitting.py
@@ -1,7 +1,20 @@
 """What every session does beside its wire: its time limits, its seat, what it was told and has taken."""
 
 from garnetpaddle import interface as gp
-from garnetpaddle.advice.acts import Acked, Close, Due, Heard, Lost, News, Partial, Tell, Wake, Write, say
+from garnetpaddle.advice.acts import (
+    Acked,
+    Close,
+    Due,
+    Heard,
+    Lost,
+    News,
+    Partial,
+    Tell,
+    Waited,
+    Wake,
+    Write,
+    say,
+)
 from garnetpaddle.advice.feed import Feed
 from garnetpaddle.advice.sheet import advise
 
@@ -22,6 +35,7 @@
         self.groups, self.pushes, self.written, self.joined_at = {}, False, 0, now
         self.until, self.half_since, self.closed, self.woken = now + OPENING, None, False, None
         self.count, self.counted_at, self.reads, self.told_mark = 0, now, False, None
+        self.noted = None  # the closed tasks and group version whose drains have been noted
         self.looked = None  # generation and group version of the last look that found nothing to say
 
     def handle(self, now, event):
@@ -33,6 +47,10 @@
                 self.hear(now, message, out)
             case Partial(half):
                 self.half_since = (self.half_since or now) if half else None
+            case Waited(span):
+                self.until += span
+                self.half_since = None if self.half_since is None else self.half_since + span
+                return out
             case News(reading):
                 self.office.reading = reading
             case Acked(upto):
@@ -117,15 +135,30 @@
 
     def wanted(self, sheet):
         """What each group is to be told: name -> key -> Entry."""
-        return {name: advise(held.members, sheet, self.feed.told.get(name, {}), self.let_in(sheet, held))
+        return {name: self.advised(sheet, held, self.feed.told.get(name, {}))
                 for name, held in self.groups.items()}
 
+    def advised(self, sheet, held, former):
+        """One group's; followers with the same members of the same table share it, and must not change it."""
+        let_in = self.let_in(sheet, held)
+        if held.alike[0] != held.version:
+            held.alike = held.version, self.office.likeness(held.members)
+        same = held.alike[1], let_in
+        if same[0] is None or not sheet.number:
+            return advise(held.members, sheet, former, let_in)
+        if same not in sheet.shared:
+            sheet.shared[same] = advise(held.members, sheet, former, let_in)
+        return sheet.shared[same]
+
     def let_in(self, sheet, held):
         level = sheet.levels.get(held.right.route)
         return level is None or level.part > 0
 
     def note_drains(self, sheet):
         """Every member that drains must be shown to be taken, told of before or not; see advise."""
+        if self.noted is not None and self.noted[0] is sheet.closed and self.noted[1] == self.version():
+            return
+        self.noted = sheet.closed, self.version()
         for held in self.groups.values():
             for key, member in held.members.items():
                 task = member.at(sheet)
@@ -161,14 +194,14 @@
         return None
 
     def push(self, now, sheet, version, out):
+        drained = self.feed.unsent(sheet.closed)
+        if not self.feed.may_send(now, urgent=bool(drained)):
+            return
         wanted = self.wanted(sheet)
         moved = {name: group for name, group in wanted.items() if group != self.feed.told.get(name, {})}
-        drained = self.feed.unsent(sheet.closed)
         if not moved and not drained:
             self.looked = sheet.generation, version
             return
-        if not self.feed.may_send(now, urgent=bool(drained)):
-            return
         if not moved:  # zero already, as a former update has it; a word of it is still owed
             moved = {name: group for name, group in wanted.items()
                      if any(self.groups[name].members[key].at(sheet) in drained for key in group)}
--- a/garnetpaddle/commands/line.py
+++ b/garnetpaddle/commands/line.py
@@ -5,6 +5,7 @@
 import click
 
 from garnetpaddle import __version__
+from garnetpaddle.commands.advice import advice
 
 OPERATOR = click.option(
     "--operator", metavar="FILE", envvar="GARNET_OPERATOR",
@@ -56,6 +57,9 @@
     return 0
 
 
+commands.add_command(advice)
+
+
 def main(arguments, early=()):
     """Runs a command; its exit code."""
     try:
--- a/garnetpaddle/dfp/session.py
+++ b/garnetpaddle/dfp/session.py
@@ -22,6 +22,7 @@
     members: dict = field(default_factory=dict)  # (address, port) -> advice.Member
     drained: dict = field(default_factory=dict)
     version: int = 0
+    alike: tuple = (-1, None)  # as SASP's
 
 
 class Session(Sitting):
--- a/garnetpaddle/fronts/hall.py
+++ b/garnetpaddle/fronts/hall.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import termios
+import time
 
 import structlog
 
@@ -20,14 +21,16 @@
     Poke,
     Say,
     Tell,
+    Waited,
     Wake,
     Write,
 )
 
 CHUNK = 16 << 10  # bytes read at once: what a flood can make us handle in one go
 QUEUED = 128  # connections that may wait to be taken
-BATCH = 16  # sessions that hear of a reading in one go, before others have their turn
+SLICE = 0.001  # s of telling sessions of a reading in one go, before others have their turn
 LOOK, LOOK_MOST = 200, 3_200  # 20 ms, doubled to 0.32 s: until we look again what a client's machine has
+QUEUED_MOST = 5_000  # 0.5 s that a time limit waits for what was said and is not read yet
 LEAVE = 1.0  # s in which a client may take what was written before a close
 log = structlog.get_logger()
 
@@ -40,6 +43,7 @@
         self.session, self.frames, self.heard_at = session, frames, now
         self.sock, self.written, self.acked = writer.get_extra_info("socket"), 0, 0
         self.wait, self.wake_at, self.looking, self.closing = LOOK, None, False, False
+        self.queued = None  # since when what it said waits for its turn
 
     def taken(self):
         """Bytes that the client's machine has acknowledged."""
@@ -57,6 +61,7 @@
     def __init__(self, desk, now, hear, room, unread):
         self.desk, self.now, self.hear, self.room, self.unread = desk, now, hear, room, unread
         self.links, self.serial, self.servers = {}, 0, []
+        self.gate, self.sliced = asyncio.Lock(), 0.0
         self.due, self.dues, self.timer = [], 0, None  # (at, serial, link's number, what)
 
     async def open(self, address, begin):
@@ -91,10 +96,13 @@
         while True:
             reading = await self.desk.newer(generation)
             generation = reading.generation
-            for k, number in enumerate(list(self.links)):
-                if k % BATCH == BATCH - 1:
+            begun = time.monotonic()
+            for number in list(self.links):
+                if time.monotonic() - begun >= SLICE:
                     await asyncio.sleep(0)
-                if link := self.links.get(number):
+                    begun = time.monotonic()
+                link = self.links.get(number)
+                if link and link.queued is None:  # else it is told after what it says is read
                     self.hand(link, News(self.desk.reading))
 
     async def serve(self, reader, writer, begin):
@@ -122,15 +130,25 @@
 
     async def read(self, link):
         while not link.closing and (chunk := await link.reader.read(CHUNK)):
-            link.heard_at = self.now()
-            for message in link.frames.feed(chunk):
-                link.acked = max(link.acked, link.taken())
-                self.hand(link, Acked(link.acked), Heard(message))
-                if link.closing:
-                    return
-            self.hand(link, Partial(link.frames.half()))
-            # What a client asks for is never worth more than its turn.
-            await asyncio.sleep(0)
+            link.heard_at = link.queued = self.now()
+            # One after the other, a slice of time at once: what clients say by hundreds (they all register
+            # anew after a restart) holds up neither the platform's channel nor a drain.
+            async with self.gate:
+                if (waited := self.now() - link.queued) > 0:
+                    self.hand(link, Waited(waited))
+                link.queued = None
+                self.take(link, chunk)
+                if time.monotonic() - self.sliced >= SLICE:
+                    await asyncio.sleep(0)
+                    self.sliced = time.monotonic()
+
+    def take(self, link, chunk):
+        for message in link.frames.feed(chunk):
+            link.acked = max(link.acked, link.taken())
+            self.hand(link, Acked(link.acked), Heard(message))
+            if link.closing:
+                return
+        self.hand(link, Partial(link.frames.half()))
 
     def hand(self, link, *events):
         for event in events:
@@ -200,6 +218,9 @@
                 continue
             if what == "look":
                 self.look(link, now)
+            elif link.wake_at == at and link.queued is not None and now - link.queued < QUEUED_MOST:
+                link.wake_at = now + LOOK
+                self.later(link.wake_at, number, what)
             elif link.wake_at == at:  # else another time has replaced it
                 link.wake_at = None
                 self.hand(link, Due())
--- a/garnetpaddle/sasp/codec.py
+++ b/garnetpaddle/sasp/codec.py
@@ -281,21 +281,22 @@
     return HEAD.pack(Part.STATE_ENTRY, length) + of + STATE_REST.pack(it.state, QUIESCED * it.quiesced)
 
 
-def listed(kind, name, items, nested):
-    """A group with its items, each as bytes."""
-    if len(items) > LONGEST:
+def listed(kind, name, count, items, nested):
+    """A group with so many items, given as bytes."""
+    if count > LONGEST:
         raise Unsayable("over 65535 members")
-    return component(kind, COUNT.pack(len(items)), group(name) + b"".join(items), nested)
+    return component(kind, COUNT.pack(count), group(name) + items, nested)
 
 
 def members(groups, nested):
-    return [listed(Part.MEMBERS_OF_GROUP, name, [member(x) for x in items], nested) for name, items in groups]
+    return [listed(Part.MEMBERS_OF_GROUP, name, len(items), b"".join(map(member, items)), nested)
+            for name, items in groups]
 
 
 def entries(groups, nested):
-    return [listed(Part.WEIGHTS_OF_GROUP, name,
-                   [entry(member(x.member), x.state, x.flags, x.weight, nested) for x in items], nested)
-            for name, items in groups]
+    return [listed(Part.WEIGHTS_OF_GROUP, name, len(items), b"".join(
+        entry(member(x.member), x.state, x.flags, x.weight, nested) for x in items), nested)
+        for name, items in groups]
 
 
 def framed(number, kind, own, inner, nested):
@@ -338,8 +339,8 @@
             own = bytes([len(message.uid)]) + message.uid + bytes([message.health, flags])
             return framed(message.id, Kind.SET_LB_STATE, own, [], nested)
         case m.SetMemberState():
-            groups = [listed(Part.STATES_OF_GROUP, name, [state_entry(x, nested) for x in items], nested)
-                      for name, items in message.groups]
+            groups = [listed(Part.STATES_OF_GROUP, name, len(items), b"".join(
+                state_entry(x, nested) for x in items), nested) for name, items in message.groups]
             own = struct.pack("!BH", LB_FLAG * message.lb, len(groups))
             return framed(message.id, Kind.SET_MEMBER_STATE, own, groups, nested)
     raise TypeError(f"no message: {message!r}")
--- a/garnetpaddle/sasp/session.py
+++ b/garnetpaddle/sasp/session.py
@@ -26,6 +26,7 @@
     members: dict = field(default_factory=dict)  # key -> advice.Member
     drained: dict = field(default_factory=dict)  # (key, task) of drains noted
     version: int = 0
+    alike: tuple = (-1, None)  # version, and the number that it shares with groups of the same members
 
 
 class Refused(Exception):
@@ -126,7 +127,7 @@
         if former is not None:
             out.append(Poke(former))
         for held in added.values():
-            held.version += 1
+            held.version = self.office.next()
         self.groups |= added
 
     def named(self, name):
@@ -212,7 +213,7 @@
                 raise Refused(Code.NOT_ACCEPTED, "too many members")
             added.append((session, copy))
         for session, copy in added:
-            copy.version += 1
+            copy.version = self.office.next()
             session.groups[copy.name.name] = copy
             out.append(Poke(session.connection))
 
@@ -228,7 +229,7 @@
             # It stays as a member that takes nothing: the balancer has to hear of it.
             for key in keys:
                 held.members[key] = replace(held.members[key], quiesced=True)
-            held.version += 1
+            held.version = self.office.next()
             out.append(Poke(session.connection))
 
     # Deregistration, section 6.2
@@ -246,10 +247,11 @@
             for key in keys:
                 task = held.members.pop(key).task
                 held.drained = {k: True for k in held.drained if k[0] != key}
-                self.feed.told.get(held.name.name, {}).pop(key, None)
+                told = self.feed.told.get(held.name.name, {})
+                self.feed.told[held.name.name] = {k: e for k, e in told.items() if k != key}
                 if not any(x.task == task for h in self.groups.values() for x in h.members.values()):
                     self.feed.reopened(task)  # the balancer itself has let it go
-            held.version += 1
+            held.version = self.office.next()
         self.groups = {name: held for name, held in self.groups.items() if held.members}
         if not self.groups:
             self.leave(now, "deregistered", False, out)
@@ -298,7 +300,7 @@
         for session, held, pairs in set_to:
             for key, state in pairs:
                 held.members[key] = replace(held.members[key], quiesced=state.quiesced, state=state.state)
-            held.version += 1
+            held.version = self.office.next()
             if session is not self:
                 out.append(Poke(session.connection))
 
@@ -317,7 +319,7 @@
             self.note_drains(sheet)
             wanted = self.wanted(sheet)
             wanted = {name: wanted[name] for name in names} if names else wanted
-            groups = [self.listed(name, group) for name, group in wanted.items() if group]
+            groups = [self.listed(name, group, sheet) for name, group in wanted.items() if group]
             self.polled = {k: v for k, v in self.polled.items() if v[0] == stamp}
             known = self.polled[names] = stamp, wanted, groups
         soon = not known[2] or not sheet.number
@@ -344,20 +346,24 @@
 
     def update(self, sheet, wanted, moved):
         self.serial = self.serial % 0xFFFF_FFFF + 1
-        groups = []
-        for name, group in moved.items():
-            if self.no_change:
-                former = self.feed.told.get(name, {})
-                group = {k: e for k, e in group.items() if former.get(k) != e} or group
-            groups.append(self.listed(name, group))
+        groups = [self.listed(name, group, sheet, self.feed.told.get(name) if self.no_change else None)
+                  for name, group in moved.items()]
         return codec.send_weights(self.serial, groups, self.nested)
 
-    def listed(self, name, group):
-        """A group with its entries as bytes."""
+    def listed(self, name, group, sheet, former=None):
+        """A group with its entries as bytes; of them what differs from `former`, where that is given. Groups
+        that share their entries share the bytes too."""
         held = self.groups[name]
-        items = [codec.entry(key, held.members[key].state, flags(entry), entry.weight, self.nested)
-                 for key, entry in group.items()]
-        return codec.listed(codec.Part.WEIGHTS_OF_GROUP, held.name, items, self.nested)
+        same = "bytes", id(group), id(former), self.nested
+        known = sheet.shared.get(same)
+        if known is None:
+            told = {k: e for k, e in group.items() if former.get(k) != e} or group if former else group
+            items = [codec.entry(key, held.members[key].state, flags(entry), entry.weight, self.nested)
+                     for key, entry in told.items()]
+            known = len(items), b"".join(items), group, former  # the last two keep their ids theirs
+            if group is sheet.shared.get((held.alike[1], True)):
+                sheet.shared[same] = known
+        return codec.listed(codec.Part.WEIGHTS_OF_GROUP, held.name, known[0], known[1], self.nested)
 
 
 def flags(entry):
--- a/tests/test_sasp.py
+++ b/tests/test_sasp.py
@@ -19,6 +19,7 @@
     Poke,
     Say,
     Tell,
+    Waited,
     Wake,
     Write,
 )
@@ -584,6 +585,20 @@
     matches("sasp_strangers", t.trace)
 
 
+def test_what_waited_to_be_read_here_is_no_silence_of_the_clients():
+    t = Talk().open().open(2)
+    for n in (1, 2):
+        t.hand(n, Partial(True))
+    t.now += 25_000
+    t.hand(1, Waited(25_000))
+    t.hand(1, Partial(True))
+    assert 1 in t.sessions
+    t.hand(2, Partial(True))
+    assert 2 not in t.sessions
+    t.pass_(2.1)
+    assert 1 not in t.sessions
+
+
 def test_a_poll_between_changes_walks_no_table(monkeypatch):
     t = following()
     t.hear(GET)
