--- a/benchmarks/advice.py
+++ b/benchmarks/advice.py
@@ -1,7 +1,7 @@
 """How fast, how dear: from an order to the last client's reading of it, over SASP on loopback.
 
-    python benchmarks/advice.py                       # 1, 10, 100, 1000 clients x 30, 120, 1000 members
-    python benchmarks/advice.py --clients 100 --members 120 --json result.json
+    python -m benchmarks.advice                       # 1, 10, 100, 1000 clients x 30, 120, 1000 members
+    python -m benchmarks.advice --clients 100 --members 120 --json result.json
 
 The fronts run in a process of their own on one core, with the book and the sessions as in service; readers in
 further processes look only at what they must. In the same run a bare asyncio server writes the same bytes to
--- a/examples/balancer.py
+++ b/examples/balancer.py
@@ -1,8 +1,8 @@
 """A toy balancer that follows the assigner over SASP, on 127.0.0.1.
 
-    python examples/toys.py                                                                  # one terminal
+    python examples/toys.py         # one terminal; in another:
     ROUTER_CONFIG=examples/assigner.json python -m garnetpaddle serve --operator examples/operator.hcl
-    python examples/balancer.py                                                              # a third
+    python -m examples.balancer     # a third
 
 It registers the toys' three tasks in the group "lookups" and spreads toy calls by what it is told: each call
 goes to the member that is furthest behind its part (weighted round robin). Every five seconds it prints where
