Fronts hear clients in one queue; what a flood leaves waiting is let go

Now one queue, heard in slices; two connections taken a turn, 1,024 may wait; sheets that a bind or a seal did not change are kept.

--- a/benchmarks/advice.py
+++ b/benchmarks/advice.py
@@ -7,6 +7,12 @@
 further processes look only at what they must. In the same run a bare asyncio server writes the same bytes to
 as many connections, and answers the same polls: figures are told as ratios to that. `step` is the time of the
 Brain's step with as many followers as clients, against none; `lag` is how late the fronts' event loop turns.
+
+    python -m benchmarks.advice --flood               # 1,000 connections of noise against a room of 64
+
+sends what can't be read (headers that promise 1 MiB, half headers, noise, single bytes) from connections that
+come again as soon as they are closed, for ten seconds; tells how late the loop turned before and meanwhile,
+what memory and descriptors it took, and when the one follower was told.
 """
 
 import asyncio
@@ -94,7 +100,9 @@
     loop = asyncio.get_running_loop()
     sampling, used, ordered = None, 0.0, 0
     while (word := await loop.run_in_executor(None, pipe.recv)) != "end":
-        if word == "bind":
+        if word == "joined":
+            pipe.send(sum(isinstance(e, gp.ProxyJoined) for e in heard))
+        elif word == "bind":
             events, heard[:] = list(heard), []
             binds = [gp.Bind(FIRST + k, 1) for k in range(clients)]
             desk.lay(keeper.turn(now(), events, [*lines(members, 0), *binds]))
@@ -102,6 +110,11 @@
         elif word == "memory":
             pipe.send(resident() - before)
             sampling, used = sampling or asyncio.create_task(lag.run()), time.process_time()
+        elif word == "sample":
+            lag.sketch = DDSketch(ACCURACY)
+            pipe.send("sampling")
+        elif word == "descriptors":
+            pipe.send(len(os.listdir("/proc/self/fd")))
         elif word == "used":
             pipe.send(((time.process_time() - used), lag.sketch.get_quantile_value(0.99) or 0.0,
                        sum(link.written for link in hall.links.values())))
@@ -274,8 +287,10 @@
         joined = 0
         while joined < clients:
             time.sleep(0.05)
-            server.send("bind")
-            joined += server.recv()
+            server.send("joined")
+            joined = server.recv()
+        server.send("bind")
+        server.recv()
         for pipe, _ in readers:
             pipe.send(0)
         for pipe, _ in readers:
@@ -350,13 +365,96 @@
     return [sorted(took)[len(took) // 2] for took in times]
 
 
+async def noise(pipe, port, count, seconds):
+    """So many connections at a time, each with something else that can't be read."""
+    until, made = time.monotonic() + seconds, 0
+    kinds = [bytes.fromhex("2010000d0100100000000000ff"), b"\x20\x10", b"", os.urandom(300)]
+
+    async def one(k):
+        nonlocal made
+        while time.monotonic() < until:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                made += 1
+                for byte in (kinds[k % 4] if k % 8 else b"\x20\x10\x00\x0d\x01" * 4):
+                    writer.write(bytes([byte])) if k % 8 == 0 else None
+                if k % 8:
+                    writer.write(kinds[k % 4] * 4)
+                await asyncio.wait_for(reader.read(), max(0.01, until - time.monotonic()))
+                writer.transport.abort()
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.01)
+
+    await asyncio.gather(*(one(k) for k in range(count)))
+    pipe.send(made)
+
+
+def noise_by(pipe, *given):
+    os.sched_setaffinity(0, set(sorted(os.sched_getaffinity(0))[1:]) or os.sched_getaffinity(0))
+    run(noise, pipe, *given)
+
+
+def flood(connections=1_000, seconds=10):
+    """The figures of a flood beside one follower of 120 members that gets an order each half second."""
+    server, process = begin(serve, "fronts", 1, 120)
+    port = server.recv()
+    reader, reading = begin(read_by, port, ["lb0000"], 120, False)
+    reader.recv()
+    time.sleep(0.2)
+    server.send("bind")
+    server.recv()
+    reader.send(0)
+    reader.recv()
+    rows = []
+    for flooded in (False, True):
+        server.send("memory")
+        before = server.recv()
+        server.send("sample")
+        server.recv()
+        makers = [begin(noise_by, port, connections // 4, seconds) for _ in range(4)] if flooded else []
+        waits = []
+        for n in range(1, seconds * 2 - 1):
+            server.send(n + 20 * flooded)
+            at = server.recv()
+            reader.send(n + 20 * flooded)
+            waits += [x - at for x in reader.recv()]
+            time.sleep(0.4)
+        server.send("used")
+        _, lag, _ = server.recv()
+        server.send("memory")
+        after = server.recv()
+        server.send("descriptors")
+        rows.append({"flooded": flooded, "lag_p99": lag, "told_worst": max(waits), "told": len(waits),
+                     "kb": after - before, "descriptors": server.recv(),
+                     "connections": sum(pipe.recv() for pipe, _ in makers)})
+        for _, maker in makers:
+            maker.join(5)
+    server.send("end")
+    reader.send("end")
+    process.join(5)
+    reading.join(5)
+    return rows
+
+
 @click.command()
+@click.option("--flood", "flooded", is_flag=True, help="Measure a flood instead.")
 @click.option("--clients", default="1,10,100,1000", help="How many, in turn.")
 @click.option("--members", default="30,120,1000", help="Of each client's group, in turn.")
 @click.option("--json", "path", help="Write the figures there as well.")
-def main(clients, members, path):
+def main(flooded, clients, members, path):
     """Measures the fronts of weight advice; prints a table."""
+    logging.getLogger("asyncio").setLevel(logging.ERROR)  # of writes to what the other side has closed
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+    if flooded:
+        for row in (rows := flood()):
+            print(f"{'flooded' if row['flooded'] else 'quiet':8} loop late, 99th: "
+                  f"{row['lag_p99'] * 1e3:.2f} ms; the "
+                  f"follower told {row['told']} times, worst after {row['told_worst'] * 1e3:.1f} ms; "
+                  f"{row['connections']} connections; {row['kb']} KB more; {row['descriptors']} descriptors")
+        if path:
+            with open(path, "w") as file:
+                json.dump(rows, file, indent=1)
+        return 0
     figures = []
     print(f"{'clients':>7} {'members':>7} | {'median ms':>9} {'p99 ms':>8} {'last ms':>8} | {'x bare':>6} "
           f"{'x bare cpu':>10} | {'cpu ms':>7} {'KB sent':>8} {'KB/client':>9} | {'step x':>6} "
--- a/garnetpaddle/advice/sheet.py
+++ b/garnetpaddle/advice/sheet.py
@@ -26,6 +26,7 @@
     task: str
     quiesced: bool = False  # by a word of the member or of its balancer, not of the list
     state: int = 0  # opaque, handed back as given
+    registered: bool = True  # else it has taken itself out, and stays to be told of
 
     def at(self, sheet):
         """The task it is now: the same id, or after that was forgotten, whoever the list has at its place."""
@@ -57,21 +58,27 @@
 
 
 class Sheets:
-    """The sheet of each table at the newest generation asked for. warm_after: tenths of a ms from a task's
-    start until it is warm; shares start even, so numbers are told as confident once they were steered."""
+    """The sheet of each table at the newest reading asked for. warm_after: tenths of a ms from a task's start
+    until it is warm; shares start even, so numbers are told as confident once they were steered.
+
+    A reading in which others were bound, or a seal went out, has the same sheets as the one before: when
+    hundreds of followers join at once, those who sit already have nothing to look at."""
 
     def __init__(self, warm_after):
-        self.warm_after, self.scale, self.generation, self.made = warm_after, Scale(), -1, {}
+        self.warm_after, self.scale, self.made = warm_after, Scale(), {}
 
     def sheet(self, reading, proxy):
         """The Sheet of a proxy; one of number 0, with closed tasks alone, where it is bound to no table."""
-        if reading.generation != self.generation:
-            self.generation, self.made = reading.generation, {}
         table = reading.table(proxy)
         number = table.number if table else 0
-        if number not in self.made:
-            self.made[number] = self.make(reading, proxy, table)
-        return self.made[number]
+        known = self.made.get(number)
+        if known and known[0] is table and known[1] is reading.tasks and known[2] is reading.out and (
+                known[3] == reading.stepped):
+            return known[4]
+        made = self.make(reading, proxy, table)
+        self.made = {n: x for n, x in self.made.items() if n in reading.tables or not n}
+        self.made[number] = table, reading.tasks, reading.out, reading.stepped, made
+        return made
 
     def make(self, reading, proxy, table):
         tasks, lines = reading.tasks, reading.standing(proxy) or {}
--- a/garnetpaddle/client/shell.py
+++ b/garnetpaddle/client/shell.py
@@ -3,13 +3,18 @@
 import asyncio
 import random
 import time
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from typing import Self
 
 from garnetpaddle import dfp, sasp
 from garnetpaddle.client import follow
-from garnetpaddle.client.follow import Follow, Refused, Update
+from garnetpaddle.client.follow import Follow, Refused, Update, Weight
 from garnetpaddle.client.manage import Manage
+from garnetpaddle.dfp.codec import Key
 from garnetpaddle.sasp.messages import MemberData
 
+Place = tuple[str, int] | tuple[str, int, str]  # host (an IP address), port, label
+Uniform = Callable[[float, float], float]
 CHUNK = 64 << 10  # bytes read at once
 DIAL = 2.0  # s
 MESSAGE_MOST = 4 << 20  # bytes of a message that is taken in
@@ -25,13 +30,13 @@
     end a connection, and the last advice stands. updates() yields the newest Update of each group: a reader
     that is slow misses those in between."""
 
-    def __init__(self, address, machine, frames):
+    def __init__(self, address: tuple[str, int], machine: Follow | Manage, frames: Callable) -> None:
         self.address, self.machine, self.frames = address, machine, frames
         self.fresh, self.wake, self.timer = {}, asyncio.Event(), None
         self.writer = self.running = None
         self.log = []  # what happened, in words, the last 100
 
-    async def __aenter__(self):
+    async def __aenter__(self) -> Self:
         self.running = asyncio.create_task(self.run())
         return self
 
@@ -43,7 +48,7 @@
         if self.writer:
             self.writer.transport.abort()
 
-    async def updates(self):
+    async def updates(self) -> AsyncIterator[Update]:
         """The newest Update of each group, whenever there is a newer one. Never ends by itself."""
         while True:
             while not self.fresh:
@@ -52,7 +57,7 @@
             group = next(iter(self.fresh))
             yield self.fresh.pop(group)
 
-    def weights(self, group):
+    def weights(self, group: str) -> tuple[Weight, ...]:
         """The last advice on a group: a tuple of Weight, empty where there was none."""
         return tuple(self.machine.tables.get(group, {}).values())
 
@@ -124,31 +129,36 @@
     groups: name -> (host, port) or (host, port, label) of each member, IP addresses. push, no_change, trust,
     answers: as in Follow. Raises ValueError for what is no address."""
 
-    def __init__(self, address, uid, groups, uniform=None, **how):
+    def __init__(self, address: tuple[str, int], uid: str, groups: Mapping[str, Iterable[Place]],
+                 uniform: Uniform | None = None, **how: bool) -> None:
         members = {name: [MemberData.of(*member) for member in listed] for name, listed in groups.items()}
         machine = Follow(uid, members, uniform or random.Random().uniform, **how)
         super().__init__(address, machine, lambda: sasp.Frames(MESSAGE_MOST))
 
-    def register(self, group, *members):
+    def register(self, group: str, *members: Place) -> None:
+        """Adds members; raises ValueError for what is no address."""
         self.handle(follow.Want(group, tuple(MemberData.of(*x) for x in members), "add"))
 
-    def deregister(self, group, *members):
+    def deregister(self, group: str, *members: Place) -> None:
+        """Takes members out, learned and purposeful."""
         self.handle(follow.Want(group, tuple(MemberData.of(*x) for x in members), "drop"))
 
-    def quiesce(self, group, *members):
+    def quiesce(self, group: str, *members: Place) -> None:
         """These get nothing new, until `open`: the manager tells it back to all who follow the group."""
         self.handle(follow.Want(group, tuple(MemberData.of(*x) for x in members), "quiesce"))
 
-    def open(self, group, *members):
+    def open(self, group: str, *members: Place) -> None:
+        """Ends a quiesce."""
         self.handle(follow.Want(group, tuple(MemberData.of(*x) for x in members), "open"))
 
 
 class DfpClient(Client):
     """A manager that takes an agent's advice, draft-eck-dfp. key: garnetpaddle.dfp.codec.Key, or None."""
 
-    def __init__(self, address, name="", keep_alive=5, key=None, uniform=None):
+    def __init__(self, address: tuple[str, int], name: str = "", keep_alive: int = 5, key: Key | None = None,
+                 uniform: Uniform | None = None) -> None:
         machine = Manage(name, uniform or random.Random().uniform, keep_alive, key)
         super().__init__(address, machine, lambda: dfp.Frames(MESSAGE_MOST, key))
 
-    def weights(self, group=""):
+    def weights(self, group: str = "") -> tuple[Weight, ...]:
         return tuple(self.machine.table.values())
--- a/garnetpaddle/fronts/hall.py
+++ b/garnetpaddle/fronts/hall.py
@@ -1,6 +1,7 @@
 """All connections of all fronts: one limit, one structure of due times, one walk a reading. No decisions."""
 
 import asyncio
+import collections
 import fcntl
 import heapq
 import socket
@@ -27,11 +28,11 @@
 )
 
 CHUNK = 16 << 10  # bytes read at once: what a flood can make us handle in one go
-QUEUED = 128  # connections that may wait to be taken
+AT_ONCE, QUEUED = 2, 1_024  # connections taken in a turn; that may wait: beyond it a connecting client hears
+# nothing for seconds, and all followers connect anew at once when we have been away
 SLICE = 0.001  # s of telling sessions of a reading in one go, before others have their turn
 LOOK, LOOK_MOST = 200, 3_200  # 20 ms, doubled to 0.32 s: until we look again what a client's machine has
-QUEUED_MOST = 5_000  # 0.5 s that a time limit waits for what was said and is not read yet
-LEAVE = 1.0  # s in which a client may take what was written before a close
+QUEUED_MOST = 5_000  # 0.5 s that a follower's time limits wait for what it said and we have not read yet
 log = structlog.get_logger()
 
 
@@ -43,7 +44,7 @@
         self.session, self.frames, self.heard_at = session, frames, now
         self.sock, self.written, self.acked = writer.get_extra_info("socket"), 0, 0
         self.wait, self.wake_at, self.looking, self.closing = LOOK, None, False, False
-        self.queued = None  # since when what it said waits for its turn
+        self.queued, self.heard = None, asyncio.Event()  # since when what it said waits; it has been heard
 
     def taken(self):
         """Bytes that the client's machine has acknowledged."""
@@ -61,7 +62,7 @@
     def __init__(self, desk, now, hear, room, unread):
         self.desk, self.now, self.hear, self.room, self.unread = desk, now, hear, room, unread
         self.links, self.serial, self.servers = {}, 0, []
-        self.gate, self.sliced = asyncio.Lock(), 0.0
+        self.said, self.saying = collections.deque(), asyncio.Event()  # (link, chunk) in their order
         self.due, self.dues, self.timer = [], 0, None  # (at, serial, link's number, what)
 
     async def open(self, address, begin):
@@ -75,7 +76,8 @@
             async def serve(reader, writer):
                 await self.serve(reader, writer, begin)
 
-            server = await asyncio.start_server(serve, sock=sock, backlog=QUEUED, limit=CHUNK)
+            server = await asyncio.start_server(serve, sock=sock, backlog=AT_ONCE, limit=CHUNK)
+            sock.listen(QUEUED)  # asyncio has one figure for both
         except OSError:
             sock.close()
             raise
@@ -91,6 +93,23 @@
             self.timer.cancel()
 
     async def run(self):
+        await asyncio.gather(self.walk(), self.listen())
+
+    async def listen(self):
+        """Hears clients one after the other, a slice of time at once: what they say by hundreds (all register
+        anew after a restart) holds up neither the platform's channel nor a drain."""
+        while True:
+            await self.saying.wait()
+            self.saying.clear()
+            begun = time.monotonic()
+            while self.said:
+                link, chunk = self.said.popleft()
+                self.take(link, chunk)
+                if time.monotonic() - begun >= SLICE:
+                    await asyncio.sleep(0)
+                    begun = time.monotonic()
+
+    async def walk(self):
         """Hands each newer reading to every session; those that come while it does wait for the next walk."""
         generation = 0
         while True:
@@ -131,24 +150,27 @@
     async def read(self, link):
         while not link.closing and (chunk := await link.reader.read(CHUNK)):
             link.heard_at = link.queued = self.now()
-            # One after the other, a slice of time at once: what clients say by hundreds (they all register
-            # anew after a restart) holds up neither the platform's channel nor a drain.
-            async with self.gate:
-                if (waited := self.now() - link.queued) > 0:
-                    self.hand(link, Waited(waited))
-                link.queued = None
-                self.take(link, chunk)
-                if time.monotonic() - self.sliced >= SLICE:
-                    await asyncio.sleep(0)
-                    self.sliced = time.monotonic()
+            self.said.append((link, chunk))
+            self.saying.set()
+            # One chunk of each at a time; a link that is dropped meanwhile waits no longer.
+            link.heard.clear()
+            await link.heard.wait()
 
     def take(self, link, chunk):
-        for message in link.frames.feed(chunk):
-            link.acked = max(link.acked, link.taken())
-            self.hand(link, Acked(link.acked), Heard(message))
-            if link.closing:
-                return
-        self.hand(link, Partial(link.frames.half()))
+        try:
+            if (waited := self.now() - link.queued) > 0:
+                self.hand(link, Waited(waited))
+            link.queued = None
+            for message in link.frames.feed(chunk) if not link.closing else ():
+                link.acked = max(link.acked, link.taken())
+                self.hand(link, Acked(link.acked), Heard(message))
+                if link.closing:
+                    break
+            self.hand(link, Partial(link.frames.half()))
+        except Exception:
+            log.exception("connection_failed")
+            self.end(link)
+        link.heard.set()
 
     def hand(self, link, *events):
         for event in events:
@@ -185,17 +207,17 @@
             self.hand(link, News(self.desk.reading))
 
     def drop(self, link):
-        """No more of it; what was written may still be taken for a moment."""
+        """No more of it. What its machine has still to take of our words is the system's affair."""
         link.closing = True
         if link.writer.transport.get_write_buffer_size():
             self.end(link)
         else:
             link.writer.close()
-            asyncio.get_running_loop().call_later(LEAVE, link.writer.transport.abort)
 
     def end(self, link):
         link.closing = True
         link.writer.transport.abort()
+        link.heard.set()
 
     def later(self, at, number, what):
         self.dues += 1
@@ -218,7 +240,8 @@
                 continue
             if what == "look":
                 self.look(link, now)
-            elif link.wake_at == at and link.queued is not None and now - link.queued < QUEUED_MOST:
+            elif link.wake_at == at and link.queued is not None and (
+                    link.session.client is None or now - link.queued < QUEUED_MOST):
                 link.wake_at = now + LOOK
                 self.later(link.wake_at, number, what)
             elif link.wake_at == at:  # else another time has replaced it
--- a/garnetpaddle/operator/plan.py
+++ b/garnetpaddle/operator/plan.py
@@ -2,6 +2,7 @@
 
 import inspect
 import math
+import os
 import typing
 from dataclasses import dataclass
 from typing import Annotated, Literal
@@ -220,6 +221,8 @@
                         "needs takes = \"acknowledged\"")
         elif front.group not in followers[front.follower].groups:
             yield fault("dfp", front.name, "group", f"not among the groups of follower {front.follower!r}")
+        if front.secret_file and not os.access(front.secret_file, os.R_OK):
+            yield fault("dfp", front.name, "secret_file", f"{front.secret_file!r} can't be read")
         if heard.setdefault(front.follower, front.name) != front.name:
             yield fault("dfp", front.name, "follower", f"follows dfp.{heard[front.follower]} already")
 
--- a/garnetpaddle/sasp/messages.py
+++ b/garnetpaddle/sasp/messages.py
@@ -1,5 +1,6 @@
 """The messages of RFC 4678 as values. Bytes as they are on the wire where they only name something."""
 
+import functools
 import ipaddress
 from dataclasses import dataclass, field
 
@@ -8,6 +9,16 @@
 MAPPED = bytes(10) + b"\xff\xff"
 
 
+@functools.lru_cache(maxsize=16_384)
+def host_of(address):
+    """16 bytes as the list writes them; followers by hundreds name the same tasks."""
+    ip = ipaddress.IPv6Address(address)
+    small = address[:12] == bytes(12) and address[12:15] != bytes(3)
+    if ip.ipv4_mapped or small:
+        return str(ipaddress.IPv4Address(address[12:]))
+    return str(ip)
+
+
 @dataclass(frozen=True, slots=True)
 class MemberData:
     """Section 5.2. address: 16 bytes, IPv4 mapped (or compatible, as some write it)."""
@@ -27,11 +38,7 @@
     @property
     def place(self):
         """(host, port) as the list writes it."""
-        ip = ipaddress.IPv6Address(self.address)
-        small = self.address[:12] == bytes(12) and self.address[12:15] != bytes(3)
-        if ip.ipv4_mapped or small:
-            return str(ipaddress.IPv4Address(self.address[12:])), self.port
-        return str(ip), self.port
+        return host_of(self.address), self.port
 
 
 @dataclass(frozen=True, slots=True)
--- a/garnetpaddle/sasp/session.py
+++ b/garnetpaddle/sasp/session.py
@@ -205,7 +205,7 @@
             held = session.groups[name.name]
             copy = replace(held, members=dict(held.members))
             for key in map(codec.member, members):  # one that had left comes back
-                if key in copy.members and copy.members[key].quiesced:
+                if key in copy.members and not copy.members[key].registered:
                     del copy.members[key]
             session.add(copy, members)
             if len(copy.members) - len(held.members) + sum(
@@ -228,7 +228,7 @@
         for session, held, keys in gone:
             # It stays as a member that takes nothing: the balancer has to hear of it.
             for key in keys:
-                held.members[key] = replace(held.members[key], quiesced=True)
+                held.members[key] = replace(held.members[key], quiesced=True, registered=False)
             held.version = self.office.next()
             out.append(Poke(session.connection))
 
@@ -358,13 +358,14 @@
         known = sheet.shared.get(same)
         if known is None:
             told = {k: e for k, e in group.items() if former.get(k) != e} or group if former else group
-            items = [codec.entry(key, held.members[key].state, flags(entry), entry.weight, self.nested)
-                     for key, entry in told.items()]
+            items = [codec.entry(key, held.members[key].state, flags(entry, held.members[key]), entry.weight,
+                                 self.nested) for key, entry in told.items()]
             known = len(items), b"".join(items), group, former  # the last two keep their ids theirs
             if group is sheet.shared.get((held.alike[1], True)):
                 sheet.shared[same] = known
         return codec.listed(codec.Part.WEIGHTS_OF_GROUP, held.name, known[0], known[1], self.nested)
 
 
-def flags(entry):
-    return CONTACT * entry.contact | QUIESCE * entry.quiesced | REGISTERED | CONFIDENT * entry.confident
+def flags(entry, member):
+    return (CONTACT * entry.contact | QUIESCE * entry.quiesced | REGISTERED * member.registered
+            | CONFIDENT * entry.confident)
