--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -225,7 +225,7 @@
             assert most <= 16 + 128  # those the listener has taken in this turn and not yet looked at
             held = sum(len(x.frames.rest) for x in hall.links.values())
             assert held <= 16 * 65_536
-            # A link that is dropped while its words wait to be heard waits no longer: they piled up by thousands.
+            # A link dropped while its words wait to be heard waits no longer: they piled up by thousands.
             await until(lambda: len(asyncio.all_tasks()) <= 16 + 8)
             # The follower stayed, and the native channel's Brain never heard of any of it.
             assert client.log == ["opened"]
