--- /dev/null
+++ b/benchmarks/rehearsal.py
@@ -0,0 +1,122 @@
+"""How fast a rehearsal goes, by the size of its fleet.
+
+    python -m benchmarks.rehearsal                    # 15, 30, 120, 1000 nodes
+    python -m benchmarks.rehearsal --nodes 15,30 --json result.json
+
+Simulated seconds and events a second of real time, the Brain's own share of it, and the memory at the end;
+each size in a process of its own. Calls grow with the nodes (10 a second each), proxies with their root (4
+times it). The baseline in the same run is the same day with one even table and no Brain.
+"""
+
+import json
+import multiprocessing
+import resource
+import sys
+import tempfile
+import time
+
+import click
+
+SECONDS = 20  # of each day
+
+SCRIPT = """
+rehearsal {{
+  length = {seconds}
+  seed   = 5
+}}
+zone "a" {{ proxies = {half} }}
+zone "b" {{ proxies = {half} }}
+route "r" {{
+  share = 1
+  work  = 0.12
+  slo   = 1
+  limit = 3
+}}
+kind "large" {{
+  cores = 4
+  speed = 1.4
+}}
+kind "small" {{ cores = 2 }}
+nodes "large" {{
+  kind  = "large"
+  zone  = "a"
+  count = {few}
+}}
+nodes "small" {{
+  kind  = "small"
+  zone  = "b"
+  count = {many}
+}}
+clients {{ rate = {rate} }}
+delays {{
+  lines       = {lines}
+  queue_limit = {queue}
+}}
+trouble "slow" {{
+  kind   = "slow"
+  start  = 5
+  end    = 15
+  share  = 0.1
+  amount = 4
+}}
+"""
+
+
+def day(pipe, nodes, policy):
+    from garnetpaddle.brain import Brain
+    from garnetpaddle.rehearsal import Day, read
+
+    proxies = max(2, round(4 * nodes**0.5))
+    with tempfile.NamedTemporaryFile("w", suffix=".hcl") as file:
+        file.write(SCRIPT.format(seconds=SECONDS, half=max(1, proxies // 2), few=nodes // 3,
+                                 many=nodes - nodes // 3, rate=10 * nodes, lines=100 * nodes,
+                                 queue=200 * nodes))
+        file.flush()
+        script = read(file.name)
+    spent, handle = [0.0], Brain.handle
+
+    def timed(self, now, events):
+        begun = time.perf_counter()
+        try:
+            return handle(self, now, events)
+        finally:
+            spent[0] += time.perf_counter() - begun
+
+    Brain.handle = timed
+    begun = time.perf_counter()
+    result = Day(script, policy=policy).run()
+    took = time.perf_counter() - begun
+    pipe.send({"nodes": nodes, "proxies": 2 * max(1, proxies // 2), "policy": policy,
+               "calls": result.counts["calls"], "took": took, "simulated_a_second": SECONDS / took,
+               "events_a_second": result.counts["events"] / took, "brain_part": spent[0] / took,
+               "service": result.service(), "broken": [b.rule for b in result.broken],
+               "mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024})
+
+
+@click.command()
+@click.option("--nodes", default="15,30,120,1000")
+@click.option("--json", "path")
+def main(nodes, path):
+    """Measures rehearsals; prints a table."""
+    rows = []
+    print(f"{'nodes':>6} {'proxies':>7} {'policy':>6} {'calls':>7} | {'sim s/s':>8} {'events/s':>9} "
+          f"{'Brain':>6} {'MB':>5} | service, broken")
+    for count in map(int, nodes.split(",")):
+        for policy in ("brain", "even"):
+            ours, theirs = multiprocessing.Pipe()
+            process = multiprocessing.get_context("spawn").Process(target=day, args=(theirs, count, policy))
+            process.start()
+            rows.append(row := ours.recv())
+            process.join()
+            print(f"{count:6} {row['proxies']:7} {policy:>6} {row['calls']:7} | "
+                  f"{row['simulated_a_second']:8.2f} {row['events_a_second']:9.0f} {row['brain_part']:6.1%} "
+                  f"{row['mb']:5.0f} | "
+                  f"{row['service']:.3f}, {', '.join(row['broken']) or 'no rule'}", flush=True)
+    if path:
+        with open(path, "w") as file:
+            json.dump(rows, file, indent=1)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(standalone_mode=False))
--- a/garnetpaddle/commands/rehearse.py
+++ b/garnetpaddle/commands/rehearse.py
@@ -86,6 +86,47 @@
     return 1 if broken else 0
 
 
+@rehearse.command()
+@click.argument("a")
+@click.argument("b")
+@click.option("--seeds", default=8, show_default=True, type=click.IntRange(2))
+@click.option("--policy", default="brain", type=click.Choice(["brain", "even", "least"]), show_default=True)
+@click.option("--against", type=click.Choice(["brain", "even", "least"]), help="B's policy, if another.")
+@click.option("--jobs", default=1, show_default=True, type=click.IntRange(1), help="Days played at once.")
+def compare(a, b, seeds, policy, against, jobs):
+    """Play two scripts over the same seeds: how B differs from A, and whether that is more than chance."""
+    first = script_of(a).rehearsal.seed
+    script_of(b)
+    from garnetpaddle.rehearsal.compare import differences, parting
+
+    days = [(path, seed, of) for seed in range(first, first + seeds)
+            for path, of in ((a, policy), (b, against or policy))]
+    with concurrent.futures.ProcessPoolExecutor(min(jobs, len(days), os.cpu_count() or 1)) as pool:
+        told = [day for day, _ in pool.map(played, *zip(*days, strict=True))]
+    sides = ({day["seed"]: day for day in told[0::2]}, {day["seed"]: day for day in told[1::2]})
+    for d in differences(*sides):
+        click.echo(f"{d.figure:13} {d.a:.4f} -> {d.b:.4f}: {d.mean:+.4f} ({d.low:+.4f} to {d.high:+.4f}), "
+                   f"{d.verdict()}")
+    for name, side in (("A", sides[0]), ("B", sides[1])):
+        broken = sum(bool(day["broken"]) for day in side.values())
+        click.echo(f"{name}: rules broken on {broken} of {seeds} days")
+    part = parting(sides[0][first], sides[1][first])
+    click.echo(f"seed {first}: " + (f"the days part at {part[0]:g} s" if part else "the days are the same"))
+    return 0
+
+
+@rehearse.command()
+@click.argument("results", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
+@click.option("--to", default="rehearsal.png", show_default=True, type=click.Path(dir_okay=False))
+def plot(results, to):
+    """Draw results that `run --out` has written: the first one in detail, the service of all."""
+    from garnetpaddle.rehearsal.plots import plot
+
+    plot([json.loads(pathlib.Path(path).read_bytes()) for path in results], to)
+    click.echo(to)
+    return 0
+
+
 def keep(path, data):
     """Whole or not at all: an interrupted run leaves no half file."""
     whole = path.with_suffix(".part")
--- a/garnetpaddle/rehearsal/day.py
+++ b/garnetpaddle/rehearsal/day.py
@@ -30,6 +30,8 @@
         delays = self.delays = script.delays
         self.rules = Rules(self.world, delays, judged=policy == "brain")
         self.result = Result(script.path.rsplit("/", 1)[-1], self.seed, policy)
+        self.result.troubles = [[t.name, t.kind, t.start, t.end or script.rehearsal.length]
+                                for t in script.troubles]
         kinds = {k.name: k for k in script.kinds}
         self.groups, self.nodes, self.listed = {}, {}, {}
         for name, group in script.names():
--- a/garnetpaddle/rehearsal/result.py
+++ b/garnetpaddle/rehearsal/result.py
@@ -20,7 +20,9 @@
     served: float = 0.0
     windows: dict = field(default_factory=dict)  # window -> [asked, served]
     routes: dict = field(default_factory=dict)  # name -> [asked, served]
+    seconds: dict = field(default_factory=dict)  # second -> [asked, served]
     outcomes: dict = field(default_factory=dict)
+    troubles: list = field(default_factory=list)  # (name, kind, start, end) in seconds
     latencies: DDSketch = field(default_factory=lambda: DDSketch(ACCURACY))
     samples: list = field(default_factory=list)  # each second: what the plots show
     log: list = field(default_factory=list)  # (at, text)
@@ -31,7 +33,8 @@
         window = self.windows.setdefault(came // WINDOW, [0.0, 0.0])
         name = self.routes.setdefault(route, [0.0, 0.0])
         self.asked += importance
-        for sums in (window, name):
+        second = self.seconds.setdefault(came // 10_000, [0.0, 0.0])
+        for sums in (window, name, second):
             sums[0] += importance
             sums[1] += importance * in_time
         self.served += importance * in_time
@@ -60,7 +63,8 @@
             "latency_ms": {f"p{p}": round((self.quantile(p / 100) or 0) / 10, 2) for p in (50, 90, 99)},
             "broken": [{"rule": b.rule, "at": b.at / 10_000, "who": b.who, "why": b.why,
                         "orders": list(b.orders)} for b in self.broken],
-            "counts": self.counts, "samples": self.samples,
+            "counts": self.counts, "samples": self.samples, "troubles": self.troubles,
+            "seconds": [[k, asked, served] for k, (asked, served) in sorted(self.seconds.items())],
             "log": [[at / 10_000, text] for at, text in self.log]}
 
     def bytes(self):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -12,6 +12,7 @@
 from garnetpaddle import interface as gp
 from garnetpaddle.operator import Faulty
 from garnetpaddle.rehearsal import Day, read
+from garnetpaddle.rehearsal.compare import differences, parting
 from garnetpaddle.rehearsal.model import Call, Node, Proxy, World
 from garnetpaddle.rehearsal.rules import Rules
 from garnetpaddle.rehearsal.script import Delays, Kind
@@ -408,3 +409,42 @@
     (tmp_path / "bad.hcl").write_text("rehearsal {\n  length = -1\n}\n")
     done = subprocess.run([*command[:4], "check", str(tmp_path / "bad.hcl")], capture_output=True, text=True)
     assert done.returncode == 2 and "bad.hcl:2: rehearsal.length" in done.stderr
+
+
+# Comparing
+
+
+def figures(service):
+    return {"service": service, "worst_window": service, "worst_route": 1.0}
+
+
+def test_a_difference_is_told_from_chance_by_pairs():
+    a = {seed: figures(0.5 + seed / 10) for seed in range(4)}
+    b = {seed: figures(0.5 + seed / 10 + 0.02 + 0.001 * (seed % 2)) for seed in range(4)}
+    service, window, route = differences(a, b)
+    assert service.verdict() == "more" and abs(service.mean - 0.0205) < 1e-9 and service.low > 0.019
+    assert differences(b, a)[0].verdict() == "less" and route.verdict() == "same"
+    # Half of the pairs the one way, half the other.
+    c = {seed: figures(0.5 + seed / 10 + 0.02 * (-1) ** seed) for seed in range(4)}
+    assert differences(a, c)[0].verdict() == "noise"
+    with pytest.raises(ValueError, match="two seeds"):
+        differences({1: figures(1)}, {1: figures(1), 2: figures(1)})
+
+
+def test_the_moment_at_which_two_days_part(tmp_path):
+    quiet = Day(script(tmp_path)).run().told()
+    struck = Day(script(tmp_path, trouble("s", "slow", 7, 9, share=0.5, amount=3))).run().told()
+    assert parting(quiet, quiet) is None
+    at, ours, theirs = parting(quiet, struck)
+    assert 7 <= at <= 8 and ours != theirs and "begins" in str(theirs)
+
+
+def test_a_day_is_drawn(tmp_path):
+    script(tmp_path, trouble("s", "slow", 7, 9, share=0.5, amount=3))
+    base = [sys.executable, "-m", "garnetpaddle", "rehearse"]
+    subprocess.run([*base, "run", str(tmp_path / "day.hcl"), "--out", str(tmp_path / "out")], check=True,
+                   capture_output=True, timeout=120)
+    days = sorted(map(str, (tmp_path / "out").iterdir()))
+    done = subprocess.run([*base, "plot", *days, "--to", str(tmp_path / "day.png")], capture_output=True,
+                          timeout=120)
+    assert done.returncode == 0 and (tmp_path / "day.png").read_bytes().startswith(b"\x89PNG")
