--- a/garnetpaddle/commands/rehearse.py
+++ b/garnetpaddle/commands/rehearse.py
@@ -21,11 +21,17 @@
         raise click.exceptions.Exit(2) from None
 
 
-def played(path, seed, policy):
-    """One day, in a process of its own: its figures and its bytes."""
+def played(path, seed, policy, log=None):
+    """One day, in a process of its own: its figures and its bytes. log: where its event log goes."""
     from garnetpaddle.rehearsal import Day, read
+    from garnetpaddle.rehearsal.events import Writer
 
-    result = Day(read(path), seed, policy).run()
+    writer = Writer(log) if log else None
+    try:
+        result = Day(read(path), seed, policy, writer).run()
+    finally:
+        if writer:
+            writer.close()
     return result.told(), result.bytes()
 
 
@@ -64,8 +70,9 @@
               help="May be given often; all three where left out.")
 @click.option("--jobs", default=1, show_default=True, type=click.IntRange(1), help="Days played at once.")
 @click.option("--out", type=click.Path(file_okay=False), help="Write each day's result and log there.")
+@click.option("--events", is_flag=True, help="With --out: each day's event log as well (zstd).")
 @click.option("--json", "as_json", is_flag=True, help="Figures as lines of JSON.")
-def run(script, seeds, policies, jobs, out, as_json):
+def run(script, seeds, policies, jobs, out, events, as_json):
     """Play a script; exit 1 where a rule was broken."""
     first = script_of(script).rehearsal.seed
     days = [(seed, policy) for seed in range(first, first + seeds)
@@ -74,7 +81,11 @@
     if folder:
         folder.mkdir(parents=True, exist_ok=True)
     with concurrent.futures.ProcessPoolExecutor(min(jobs, len(days), os.cpu_count() or 1)) as pool:
-        coming = [(day, pool.submit(played, script, *day)) for day in days]
+        def log(seed, policy):
+            wanted = events and folder and policy == "brain"
+            return str(folder / f"{pathlib.Path(script).stem}-{policy}-{seed}.events.zst") if wanted else None
+
+        coming = [(day, pool.submit(played, script, *day, log(*day))) for day in days]
         for (seed, policy), future in coming:
             told, data = future.result()
             broken += bool(told["broken"])
@@ -115,6 +126,22 @@
     return 0
 
 
+@rehearse.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--from", "start", default=0.0, help="s")
+@click.option("--to", "end", default=1e9, help="s")
+def log(file, start, end):
+    """Print an event log: what the Brain heard (<) and ordered (>), with its time in seconds."""
+    from garnetpaddle.rehearsal.events import read
+
+    for now, heard, ordered in read(file):
+        if start <= now / 10_000 <= end:
+            for mark, words in (("<", heard), (">", ordered)):
+                for word in words:
+                    click.echo(f"{now / 10_000:9.3f} {mark} {word}")
+    return 0
+
+
 @rehearse.command()
 @click.argument("results", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
 @click.option("--to", default="rehearsal.png", show_default=True, type=click.Path(dir_okay=False))
--- a/garnetpaddle/rehearsal/day.py
+++ b/garnetpaddle/rehearsal/day.py
@@ -21,10 +21,11 @@
 
 class Day:
     """policy: "brain"; or a baseline: "even" (one even table of all that are listed) or "least" (least calls
-    in hand for its speed, by the true state: a bound that no assigner can reach)."""
+    in hand for its speed, by the true state: a bound that no assigner can reach). record(now, events, orders)
+    is called with each batch of the Brain's."""
 
-    def __init__(self, script, seed=None, policy="brain"):
-        self.script, self.policy = script, policy
+    def __init__(self, script, seed=None, policy="brain", record=None):
+        self.script, self.policy, self.record = script, policy, record
         self.seed = script.rehearsal.seed if seed is None else seed
         self.world, self.length = World(self.seed), tenths(script.rehearsal.length)
         delays = self.delays = script.delays
@@ -103,8 +104,10 @@
         if self.brain is None:
             return
         events, self.heard = self.heard, []
-        reply = []
-        for order in self.brain.handle(BASE + self.world.now, events):
+        reply, orders = [], self.brain.handle(BASE + self.world.now, events)
+        if self.record:
+            self.record(self.world.now, events, orders)
+        for order in orders:
             match order:
                 case gp.Timer():
                     self.world.at(order.at - BASE, self.hear, gp.TimerDue(order.key), self.life)
@@ -322,7 +325,7 @@
             names = [k for k, n in self.nodes.items() if n.zone == proxy.zone]
             names = names if len(names) >= 3 else list(self.nodes)
             drawn = proxy.chance.permutation(len(names))[:STANDING]
-            proxy.lines = {names[k]: 1.0 for k in sorted(drawn)}
+            proxy.fill({names[k]: 1.0 for k in sorted(drawn)})
         if self.policy == "brain":
             self.begin()
             for number in self.proxies:
--- a/garnetpaddle/rehearsal/model/proxy.py
+++ b/garnetpaddle/rehearsal/model/proxy.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from garnetpaddle.rehearsal.model.rota import Rota
+
 
 @dataclass(eq=False, slots=True)
 class Call:
@@ -27,7 +29,7 @@
         self.world, self.number, self.zone, self.nodes, self.delays = world, number, zone, nodes, delays
         self.settled, self.rules, self.policy = settled, rules, pick
         self.chance = world.chance(f"proxy {number}")
-        self.lines, self.credit, self.out = {}, {}, {}
+        self.rota, self.out = Rota(self.chance), {}
         self.levels, self.tries = {}, {}
         self.joined, self.joined_at, self.bound, self.ordered = False, 0, None, False
         self.strikes, self.avoids = {}, {}
@@ -37,33 +39,27 @@
 
     def hold(self, lines, levels, out):
         """A whole table, from a bind."""
-        self.lines, self.levels = dict(lines), dict(levels)
-        self.out = dict.fromkeys(out, True)
-        self.credit, self.ordered = {}, True
+        self.levels, self.out, self.ordered = dict(levels), dict.fromkeys(out, True), True
+        self.fill(lines)
+
+    def fill(self, lines):
+        """Its table is this one: task -> weight."""
+        self.rota.clear()
+        for task, weight in lines.items():
+            self.rota.set(task, weight)
 
     def line(self, task, weight):
-        self.lines.pop(task, None)
-        if weight > 0:
-            self.lines[task] = weight
+        self.rota.set(task, weight)
 
     def pickable(self):
-        """task -> weight of whom it may send to, avoidance aside."""
-        return {k: w for k, w in self.lines.items() if k not in self.out}
+        """Whether there is anybody to send to, avoidance aside."""
+        return any(k not in self.out for k in self.rota.weights)
 
     def pick(self, but=None):
-        """Evenly by weight: the line furthest behind its part, of those not avoided; else of all."""
-        lines, now = self.pickable(), self.world.now
-        near = {k: w for k, w in lines.items() if k != but and self.avoids.get(k, 0) <= now}
-        lines = near or {k: w for k, w in lines.items() if k != but}
-        if not lines:
-            return None
-        total = 0.0
-        for k, w in lines.items():
-            self.credit[k] = self.credit.get(k, self.chance.random() * -w) + w
-            total += w
-        best = max(lines, key=lambda k: (self.credit[k], k))
-        self.credit[best] -= total
-        return best
+        """Evenly by weight, of those not avoided; of all where every one of them is."""
+        now, avoids, out = self.world.now, self.avoids, self.out
+        near = self.rota.pick(lambda k: k == but or k in out or avoids.get(k, 0) > now)
+        return near or self.rota.pick(lambda k: k == but or k in out)
 
     # What it sends
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -11,9 +11,10 @@
 
 from garnetpaddle import interface as gp
 from garnetpaddle.operator import Faulty
-from garnetpaddle.rehearsal import Day, read
+from garnetpaddle.rehearsal import Day, events, read
 from garnetpaddle.rehearsal.compare import differences, parting
 from garnetpaddle.rehearsal.model import Call, Node, Proxy, World
+from garnetpaddle.rehearsal.model.rota import Rota
 from garnetpaddle.rehearsal.rules import Rules
 from garnetpaddle.rehearsal.script import Delays, Kind
 
@@ -261,17 +262,40 @@
     made = {k: Node(world, k, Kind(name="k", cores=8, handshake=0.0, **v), "a", None, rules)
             for k, v in nodes.items()}
     proxy = Proxy(world, 0, "a", made, Delays(**how), lambda call, outcome: ended.append(outcome), rules)
-    proxy.lines = dict.fromkeys(made, 1.0)
+    proxy.fill(dict.fromkeys(made, 1.0))
     return world, proxy, made, ended, rules
 
 
 def test_a_proxy_spreads_by_weight():
     world, proxy, nodes, ended, rules = proxied({"a": {}, "b": {}, "c": {}})
-    proxy.lines = {"a": 1.0, "b": 2.0, "c": 0.5}
+    proxy.fill({"a": 1.0, "b": 2.0, "c": 0.5})
     for k in range(700):
         proxy.call(called(k, work=0.0))
         world.run(world.now + 10)
-    assert {k: rules.begun.count(k) for k in "abc"} == {"a": 200, "b": 400, "c": 100}
+        parts = {k: rules.begun.count(k) for k in "abc"}
+        # Evenly all along, not only in the sum: each within two turns of its part.
+        due = {k: len(rules.begun) * w / 3.5 for k, w in (("a", 1), ("b", 2), ("c", 0.5))}
+        assert all(abs(parts[k] - due[k]) <= 2 for k in "abc")
+
+
+def test_weights_change_within_a_turn_and_who_sat_out_does_not_catch_up():
+    rota, out = Rota(World(1).chance("rota")), {}
+    for k in "abc":
+        rota.set(k, 1.0)
+    picks = [rota.pick(out.get) for _ in range(300)]
+    assert {picks.count(k) for k in "abc"} == {100}
+    out["a"] = True
+    assert "a" not in [rota.pick(out.get) for _ in range(200)]
+    out.clear()
+    back = [rota.pick(out.get) for _ in range(30)]
+    assert 9 <= back.count("a") <= 11
+    rota.set("b", 4.0)
+    picks = [rota.pick(out.get) for _ in range(600)]
+    assert abs(picks.count("b") - 400) <= 2
+    rota.set("b", 0.0)
+    assert "b" not in [rota.pick(out.get) for _ in range(50)]
+    out |= {"a": True, "c": True}
+    assert rota.pick(out.get) is None and len(rota.heap) < 20
 
 
 def test_it_tries_again_once_where_the_first_try_never_ran():
@@ -448,3 +472,24 @@
     done = subprocess.run([*base, "plot", *days, "--to", str(tmp_path / "day.png")], capture_output=True,
                           timeout=120)
     assert done.returncode == 0 and (tmp_path / "day.png").read_bytes().startswith(b"\x89PNG")
+
+
+def test_an_event_log_holds_each_batch_and_is_read_up_to_where_it_was_cut(tmp_path):
+    path, batches = tmp_path / "day.events.zst", []
+    writer = events.Writer(path)
+
+    def record(*batch):
+        writer(*batch)
+        batches.append(batch)
+
+    text = trouble("d", "drain", 4, 15, nodes='["near-1"]')
+    recorded = Day(script(tmp_path, text), record=record).run().bytes()
+    writer.close()
+    assert recorded == Day(script(tmp_path, text)).run().bytes()
+    whole = list(events.read(path))
+    assert len(whole) > 100 and whole[0][0] == batches[0][0]
+    assert [o for _, _, ordered in whole for o in ordered if o.startswith("SetLine")] == [
+        str(o) for *_, orders in batches for o in orders if isinstance(o, gp.SetLine)]
+    path.write_bytes(path.read_bytes()[:-2_000])
+    cut = list(events.read(path))
+    assert cut == whole[:len(cut)] and len(cut) < len(whole)
