Advice of several managers as one: any drain counts, parts of a fleet add up

The need: a second assigner that has not heard of a drain yet still lists the node, and a balancer at both would send there. merge takes out whom any manager calls quiesced and adds the others against their own averages, as each has a scale of its own. Proved on loopback with two assigners, a late list and a reconnect. Also a progress bar for rehearse run where somebody looks on.

--- a/garnetpaddle/commands/rehearse.py
+++ b/garnetpaddle/commands/rehearse.py
@@ -86,7 +86,7 @@
             return str(folder / f"{pathlib.Path(script).stem}-{policy}-{seed}.events.zst") if wanted else None
 
         coming = [(day, pool.submit(played, script, *day, log(*day))) for day in days]
-        for (seed, policy), future in coming:
+        for (seed, policy), future in shown(coming):
             told, data = future.result()
             broken += bool(told["broken"])
             if folder:  # written as each day ends, so that an interrupted run leaves what it has
@@ -154,6 +154,15 @@
     return 0
 
 
+def shown(days):
+    """The days in turn, with a progress bar where somebody looks on."""
+    from rich.console import Console
+    from rich.progress import track
+
+    console = Console(stderr=True)
+    return track(days, "playing", console=console, transient=True, disable=not console.is_terminal)
+
+
 def keep(path, data):
     """Whole or not at all: an interrupted run leaves no half file."""
     whole = path.with_suffix(".part")
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -17,7 +17,7 @@
 from garnetpaddle import interface as gp
 from garnetpaddle import operator as op
 from garnetpaddle.advice.roll import FIRST
-from garnetpaddle.client import DfpClient, SaspClient
+from garnetpaddle.client import DfpClient, SaspClient, Update, Weight, merge
 from garnetpaddle.sasp import codec
 from garnetpaddle.sasp import messages as m
 
@@ -331,6 +331,50 @@
     asyncio.run(day())
 
 
+def test_a_second_manager_that_has_not_heard_lists_nobody_again():
+    """Two assigners, one balancer at both; the second one's list is late."""
+    async def day():
+        plays = [Fronted(plan(pace=0.1)) for _ in range(2)]
+        async with contextlib.AsyncExitStack() as stack:
+            clients = []
+            for play in plays:
+                addresses = await stack.enter_async_context(play.served())
+                clients.append(await stack.enter_async_context(sasp(addresses, play)))
+                await until(lambda play=play: play.coming_in)
+                await play.steps(1.5)
+            await until(lambda: all(by_port(client) for client in clients))
+            port = plays[0].places.at["a"][1]
+
+            def merged():
+                weights = merge(Update("status", c.weights("status"), 0, 0) for c in clients)
+                return {at[1]: w for at, w in weights.items()}
+
+            assert port in merged() and len(merged()) == 6
+            plays[0].hear(changes(line("a", "draining")))
+            await until(lambda: not by_port(clients[0])[port])
+            # A step at the one that has not heard, and a reconnect there: the node stays out.
+            plays[1].sums["b"] = (10, 0, 500)
+            await plays[1].steps(5)
+            assert by_port(clients[1])[port] and port not in merged()
+            next(iter(plays[1].fronts.hall.links.values())).writer.transport.abort()
+            await until(lambda: clients[1].log.count("opened") == 2)
+            await plays[1].steps(1)
+            await until(lambda: by_port(clients[1])[port])
+            assert port not in merged() and len(merged()) == 5
+
+    asyncio.run(day())
+
+
+def test_parts_of_a_fleet_add_up_whatever_their_scales():
+    def told(**weights):
+        return Update("g", tuple(Weight(k, 1, "", w) for k, w in weights.items()), 1, 0)
+
+    one, other = told(a=10_000, b=20_000, c=0, d=0), told(a=0, b=0, c=2_500, d=5_000)
+    merged = {host: w for (host, _), w in merge([one, other]).items()}
+    assert merged["a"] == merged["c"] and merged["b"] == merged["d"] == 2 * merged["a"]
+    assert merge([told(a=0)]) == {} == merge([])
+
+
 def test_a_listener_that_cannot_be_had_names_its_block():
     async def day():
         play = Fronted(plan())
