A fault in a session or in the book ends that alone, never the assigner

The need: fronts run in the owner's loop; an exception in a session stopped the walk for all, one in the book would have ended the program by the owner's task. Now a session's fault ends its connection; the book's closes all fronts (followers must not go by a book that stands still: drains would be kept from them) and the platform's side goes on.

--- a/garnetpaddle/fronts/build.py
+++ b/garnetpaddle/fronts/build.py
@@ -45,13 +45,22 @@
         self.office = office_of(plan, told, terms, now())
         limits = plan.limits
         self.hall = Hall(self.desk, now, hear, limits.connections, limits.unread_kib << 10)
-        self.addresses = {}
+        self.addresses, self.failed = {}, False
 
     def turn(self, now, events, orders):
-        places = None
-        if self.places.at != self.seen:
-            places = self.seen = dict(self.places.at)
-        self.desk.lay(self.keeper.turn(now, events, orders, places))
+        """A fault here must not end the assigner. Nor may followers go by a book that stands still, as drains
+        would be kept from them: the fronts close, and their followers leave."""
+        if self.failed:
+            return
+        try:
+            places = None
+            if self.places.at != self.seen:
+                places = self.seen = dict(self.places.at)
+            self.desk.lay(self.keeper.turn(now, events, orders, places))
+        except Exception:
+            log.exception("book_failed")
+            self.failed = True
+            self.close()
 
     @staticmethod
     def relays(reply):
--- a/garnetpaddle/fronts/hall.py
+++ b/garnetpaddle/fronts/hall.py
@@ -173,9 +173,15 @@
         link.heard.set()
 
     def hand(self, link, *events):
+        """A fault in one session ends its connection, and nobody else's."""
         for event in events:
-            if not link.closing:
+            if link.closing:
+                return
+            try:
                 self.act(link, link.session.handle(self.now(), event))
+            except Exception:
+                log.exception("connection_failed")
+                self.end(link)
 
     def act(self, link, actions):
         for action in actions:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -20,6 +20,7 @@
 from garnetpaddle.client import DfpClient, SaspClient, Update, Weight, merge
 from garnetpaddle.sasp import codec
 from garnetpaddle.sasp import messages as m
+from garnetpaddle.sasp.session import Session
 
 
 def even(low, high):
@@ -375,6 +376,55 @@
     assert merge([told(a=0)]) == {} == merge([])
 
 
+def test_a_fault_in_one_session_ends_that_one_alone(monkeypatch):
+    async def day():
+        play = Fronted(plan(follower("lb", rate=1.0), follower("other", rate=1.0), pace=0.1))
+        async with play.served() as addresses, sasp(addresses, play) as client:
+            await until(lambda: play.coming_in)
+            await play.steps(1.5)
+            await until(lambda: by_port(client))
+            wanted = Session.wanted
+
+            def faulty(self, sheet):
+                if self.client.name == "other":
+                    raise RuntimeError("a fault")
+                return wanted(self, sheet)
+
+            monkeypatch.setattr(Session, "wanted", faulty)
+            async with sasp(addresses, play, uid="other") as other:
+                await until(lambda: other.log.count("opened") > 1)
+                await play.steps(1)
+                before = client.machine.serial
+                play.sums["a"] = (10, 0, 600)
+                await play.steps(6)
+                await until(lambda: client.machine.serial > before)
+                assert client.log == ["opened"] and not by_port(other)
+
+    asyncio.run(day())
+
+
+def test_a_fault_in_the_book_closes_the_fronts_and_nothing_else(monkeypatch):
+    async def day():
+        play = Fronted(plan(pace=0.1))
+        async with play.served() as addresses, sasp(addresses, play) as client:
+            await until(lambda: play.coming_in)
+            await play.steps(1.5)
+            await until(lambda: by_port(client))
+
+            def faulty(*_):
+                raise RuntimeError("a fault")
+
+            monkeypatch.setattr(play.fronts.keeper, "turn", faulty)
+            await play.steps(0.5)
+            await until(lambda: not play.fronts.hall.links)
+            await play.steps(3)
+            assert FIRST not in play.brain.proxies and play.brain.laid
+            await until(lambda: any("connect:" in x for x in client.log))
+            assert by_port(client)  # what it was told stands
+
+    asyncio.run(day())
+
+
 def test_a_listener_that_cannot_be_had_names_its_block():
     async def day():
         play = Fronted(plan())
