Read again: blocks become typed values in one place, levels of followers too

The need: the operator's file and rehearsal scripts turned HCL blocks into structs by two copies of the same code, SASP and DFP looked up the level that a right is judged by in two. Now operator/typed.py and Office.level; a constant that nothing read and a docstring that named a field that does not exist are gone.

--- a/garnetpaddle/advice/office.py
+++ b/garnetpaddle/advice/office.py
@@ -4,7 +4,7 @@
 
 from garnetpaddle.advice.roll import Roll
 from garnetpaddle.advice.sheet import Sheets
-from garnetpaddle.book import EMPTY
+from garnetpaddle.book import EMPTY, Level
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,5 +58,11 @@
         self.serial += 1
         return self.serial
 
+    def level(self, name, right):
+        """What the Brain orders for a route: by the follower's table, else by the newest that stands."""
+        tables = self.reading.tables
+        table = self.reading.table(self.number(name)) or (tables[max(tables)] if tables else None)
+        return table.level(right.route) if table else Level(1.0, "none")
+
     def number(self, name):
         return self.roll.seats[name].number
--- a/garnetpaddle/dfp/session.py
+++ b/garnetpaddle/dfp/session.py
@@ -7,7 +7,6 @@
 from garnetpaddle.advice.acts import Poke, Write, say
 from garnetpaddle.advice.rights import refusal
 from garnetpaddle.advice.sitting import OPENING, Sitting
-from garnetpaddle.book import Level
 from garnetpaddle.dfp import codec
 
 SECOND = 10_000
@@ -70,11 +69,8 @@
             self.greeted = True
             self.write(codec.encode(codec.Preference(), self.key), out)
         right = self.office.groups[self.group]
-        reading = self.office.reading
-        table = reading.table(self.office.number(self.wants.name)) or next(
-            (reading.tables[n] for n in sorted(reading.tables, reverse=True)), None)
-        level = table.level(right.route) if table else Level(1.0, "none")
-        why = refusal(right.effect, self.wants.retries, level, standing=False)
+        why = refusal(right.effect, self.wants.retries, self.office.level(self.wants.name, right),
+                      standing=False)
         if why:
             out.append(say("follower_refused", loud=True, follower=self.wants.name, why=why))
             return self.close(now, why, out)
--- a/garnetpaddle/operator/plan.py
+++ b/garnetpaddle/operator/plan.py
@@ -1,15 +1,12 @@
 """What the operator's file comes to: typed, checked whole, each fault with its place."""
 
-import inspect
-import math
 import os
-import typing
-from dataclasses import dataclass
 from typing import Annotated, Literal
 
 import msgspec
 
 from garnetpaddle.operator import hcl
+from garnetpaddle.operator.typed import Fault, Faulty, title, values
 
 Above = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
@@ -77,25 +74,6 @@
     lines: dict[tuple[str, str, str], int] = {}  # (kind, name, field) -> line, for later faults
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    file: str
-    line: int
-    field: str
-    why: str
-
-    def __str__(self):
-        return f"{self.file}:{self.line}: {self.field}: {self.why}"
-
-
-class Faulty(ValueError):
-    """The file's faults, all of them."""
-
-    def __init__(self, faults):
-        super().__init__("\n".join(map(str, faults)))
-        self.faults = tuple(faults)
-
-
 KINDS = {"limits": (Limits, 0), "group": (Group, 1), "follower": (Follower, 1), "sasp": (Sasp, None),
          "dfp": (Dfp, 1)}  # block -> its type, and how many labels it has (None: one or none)
 
@@ -139,50 +117,17 @@
     return plan
 
 
-def title(block):
-    return ".".join((block.kind, *block.labels))
-
-
 def build(path, block, faults):
     """A block as its type; None with its faults added."""
     kind, labels = KINDS[block.kind]
-    before, given = len(faults), dict(block.attributes)
-    values = {}
-    if labels is None and len(block.labels) <= 1 or labels == len(block.labels):
-        if labels != 0:
-            values["name"] = block.labels[0] if block.labels else "sasp"
-    else:
+    if len(block.labels) != labels and not (labels is None and len(block.labels) <= 1):
         wants = {0: "no label", 1: "one label, its name", None: "at most one label"}[labels]
         faults.append(Fault(path, block.line, title(block), f"wants {wants}"))
         return None
-    hints = inspect.get_annotations(kind, eval_str=True)
-    for field in msgspec.structs.fields(kind):
-        where = f"{title(block)}.{field.name}"
-        if field.name == "name":
-            continue
-        if field.name not in given:
-            if field.required:
-                faults.append(Fault(path, block.line, where, "is missing"))
-            continue
-        value, line = given.pop(field.name)
-        try:
-            values[field.name] = msgspec.convert(value, hints[field.name])
-        except msgspec.ValidationError as error:
-            words = ", ".join(f'"{word}"' for word in typing.get_args(hints[field.name])
-                              if typing.get_origin(hints[field.name]) is Literal)
-            why = f"one of {words} is wanted" if words else str(error)
-            faults.append(Fault(path, line, where, f"{shown(value)}: {why}"))
-        else:
-            if isinstance(value, float) and not math.isfinite(value):
-                faults.append(Fault(path, line, where, "no finite number"))
-    known = ", ".join(f.name for f in msgspec.structs.fields(kind) if f.name != "name")
-    for key, (_, line) in given.items():
-        faults.append(Fault(path, line, f"{title(block)}.{key}", f"no such field; known are {known}"))
-    return kind(**values) if len(faults) == before else None
-
-
-def shown(value):
-    return f"{value!r:.40}"
+    before, found = len(faults), values(path, block, kind, faults)
+    if labels != 0:
+        found["name"] = block.labels[0] if block.labels else block.kind
+    return kind(**found) if len(faults) == before else None
 
 
 def whole(plan):
--- a/garnetpaddle/rehearsal/day.py
+++ b/garnetpaddle/rehearsal/day.py
@@ -16,7 +16,6 @@
 NOTICED = 5_000  # 0.5 s until a broken stream is noticed
 LOOK, SAMPLE = 2_000, 10_000  # 0.2 s between looks at the rules, 1 s between samples
 STANDING = 6  # nodes in a proxy's first table, drawn by chance
-POLICIES = ("brain", "even", "least")
 
 
 class Day:
--- a/garnetpaddle/rehearsal/model/proxy.py
+++ b/garnetpaddle/rehearsal/model/proxy.py
@@ -7,7 +7,7 @@
 
 @dataclass(eq=False, slots=True)
 class Call:
-    """A client's call. work: core seconds at a core of speed 1; answered: (elapsed, "ok") once it is."""
+    """A client's call. work: core seconds at a core of speed 1; came: when the client's present try began."""
 
     number: int
     route: int
--- a/garnetpaddle/rehearsal/script.py
+++ b/garnetpaddle/rehearsal/script.py
@@ -3,15 +3,13 @@
 Times are seconds in the file and whole tenths of a ms in `Script`'s helpers; shares are parts of 1.
 """
 
-import inspect
 import os
-import typing
 from typing import Annotated, Literal
 
 import msgspec
 
 from garnetpaddle.operator import hcl
-from garnetpaddle.operator.plan import Fault, Faulty, shown
+from garnetpaddle.operator.typed import Fault, Faulty, title, values
 
 Above = Annotated[float, msgspec.Meta(gt=0, le=1e6)]
 From0 = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
@@ -176,7 +174,7 @@
             continue
         name = "" if block.kind in ONCE else made.name
         if (block.kind, name) in mine:
-            faults.append(Fault(path, block.line, ".".join((block.kind, *block.labels)), "stands twice"))
+            faults.append(Fault(path, block.line, title(block), "stands twice"))
         mine[block.kind, name] = True
         place = path, block.line, {key: line for key, (_, line) in block.attributes.items()}
         include = made.include if block.kind == "rehearsal" else include
@@ -199,32 +197,14 @@
     if kind is None:
         faults.append(Fault(path, block.line, block.kind, f"no such block; known are {', '.join(BLOCKS)}"))
         return None
-    title, before = ".".join((block.kind, *block.labels)), len(faults)
     if len(block.labels) != (0 if block.kind in ONCE else 1):
         wants = "no label" if block.kind in ONCE else "one label, its name"
-        faults.append(Fault(path, block.line, title, f"wants {wants}"))
+        faults.append(Fault(path, block.line, title(block), f"wants {wants}"))
         return None
-    values, given = ({} if block.kind in ONCE else {"name": block.labels[0]}), dict(block.attributes)
-    hints = inspect.get_annotations(kind, eval_str=True)
-    for field in msgspec.structs.fields(kind):
-        if field.name == "name":
-            continue
-        if field.name not in given:
-            if field.required:
-                faults.append(Fault(path, block.line, f"{title}.{field.name}", "is missing"))
-            continue
-        value, line = given.pop(field.name)
-        try:
-            values[field.name] = msgspec.convert(value, hints[field.name])
-        except msgspec.ValidationError as error:
-            hint = hints[field.name]
-            words = typing.get_args(hint) if typing.get_origin(hint) is Literal else ()
-            why = f"one of {', '.join(words)} is wanted" if words else str(error)
-            faults.append(Fault(path, line, f"{title}.{field.name}", f"{shown(value)}: {why}"))
-    known = ", ".join(f.name for f in msgspec.structs.fields(kind) if f.name != "name")
-    for key, (_, line) in given.items():
-        faults.append(Fault(path, line, f"{title}.{key}", f"no such field; known are {known}"))
-    return kind(**values) if len(faults) == before else None
+    before, found = len(faults), values(path, block, kind, faults)
+    if block.kind not in ONCE:
+        found["name"] = block.labels[0]
+    return kind(**found) if len(faults) == before else None
 
 
 def impossible(script, found):
--- a/garnetpaddle/sasp/session.py
+++ b/garnetpaddle/sasp/session.py
@@ -6,7 +6,6 @@
 from garnetpaddle.advice.acts import Poke, say
 from garnetpaddle.advice.rights import refusal
 from garnetpaddle.advice.sitting import Sitting
-from garnetpaddle.book import Level
 from garnetpaddle.sasp import codec
 from garnetpaddle.sasp import messages as m
 from garnetpaddle.sasp.constants import CONFIDENT, CONTACT, QUIESCE, REGISTERED, Code, Kind
@@ -148,17 +147,12 @@
         right = self.office.groups.get(text)
         if right is None or text not in client.groups:
             raise Refused(Code.INVALID_GROUP, f"no group {text[:40]!r} of {client.name}")
-        why = refusal(right.effect, client.retries, self.level(client, right), standing=held is not None)
+        level = self.office.level(client.name, right)
+        why = refusal(right.effect, client.retries, level, standing=held is not None)
         if why:
             raise Refused(Code.NOT_ACCEPTED, f"{text[:40]}: {why}")
         return held or Held(name, right)
 
-    def level(self, client, right):
-        reading = self.office.reading
-        table = reading.table(self.office.number(client.name)) or next(
-            (reading.tables[n] for n in sorted(reading.tables, reverse=True)), None)
-        return table.level(right.route) if table else Level(1.0, "none")
-
     def add(self, held, members):
         for data in members:
             key = codec.member(data)
