--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -488,7 +488,8 @@
             orders.append(gp.Bind(p, self.table))
             self.proxies[p].bound = True
             least = min(least, self.write(now, lines, [self.proxies[p]]))
-        self.shut_out(now, [x for p in joining + held if not (x := self.proxies[p]).aside], orders)
+        least = min(least, self.shut_out(
+            now, [x for p in joining + held if not (x := self.proxies[p]).aside], orders))
         if self.written > start:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
@@ -502,15 +503,19 @@
         self.settle(now, None, self.mark)  # where nothing moved enough to be sent, the last push still stands
 
     def shut_out(self, now, waiting, orders):
-        """Proxies that wait for their table may hold lines of tasks that left: these are shut out."""
-        spare, count = ROOM[0] * self.terms.queue_limit - self.queue, 0
-        for k, at in self.left_at.items() if waiting else ():
-            binds = self.lines[k].state in ("draining", "gone" if self.terms.gone_binds else "draining")
-            out, fits = self.withdrawn.get(k), spare > count * (self.terms.head_lines + 1) * len(waiting)
-            if binds and now - at < HELD and (out is None or not out and fits):  # in doubt: if it fits
-                orders.append(gp.Withdraw(k, True))
-                self.withdrawn[k], count = True, count + 1
-        self.write(now, count, waiting if count else ())
+        """Proxies that wait for their table may hold lines of tasks that left: these are shut out, as far as
+        the queue has room. Returns the fewest lines that an answer to it proves to have left."""
+        head, binds = self.terms.head_lines + 1, ("draining", "gone" if self.terms.gone_binds else "draining")
+        room = int((ROOM[0] * self.terms.queue_limit - self.queue) / len(waiting) - head) if waiting else 0
+        due = [k for k, at in sorted(self.left_at.items(), key=lambda item: item[1]) if now - at < HELD
+               and not self.withdrawn.get(k) and self.lines[k].state in binds] if room > 0 else []
+        # Part of them only where lines outweigh heads, as with changes; the earliest to leave go first.
+        due = due if room >= len(due) else due[:room] * (room >= head)
+        for k in due:
+            orders.append(gp.Withdraw(k, True))
+            self.withdrawn[k] = True
+        self.write(now, len(due), waiting if due else ())
+        return head + 1 if due else self.terms.queue_limit  # who holds but one of them answers for one line
 
     def fits(self, now, changes, bound):  # how many may go now, most urgent first, by pace, queue and cap
         fit, head = 0, self.terms.head_lines + 1
