--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -276,7 +276,7 @@
 
 def test_tasks_that_left_are_shut_out_as_the_queue_has_room_and_answers_to_it_prove_little():
     """Most assigners die, and all their proxies come at once, with tables of tasks that are leaving."""
-    play = Play(tasks="abcdefghijklmnopqrst", proxies=10, queue_limit=900.0, channel_lines=400.0, applies=False)
+    play = Play("abcdefghijklmnopqrst", 10, queue_limit=900.0, channel_lines=400.0, applies=False)
     play.hear(*(gp.ProxyJoined(p, 5.0, False, "z") for p in range(10, 60)))
     play.say(f"60 proxies, reckoned to wait: {play.brain.queue:.0f} of 900 lines")
     for names in ("abcdef", "ghij", "klmn"):
