--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -507,8 +507,10 @@
         the queue has room. Returns the fewest lines that an answer to it proves to have left."""
         head, binds = self.terms.head_lines + 1, ("draining", "gone" if self.terms.gone_binds else "draining")
         room = int((ROOM[0] * self.terms.queue_limit - self.queue) / len(waiting) - head) if waiting else 0
-        due = [k for k, at in sorted(self.left_at.items(), key=lambda item: item[1]) if now - at < HELD
-               and not self.withdrawn.get(k) and self.lines[k].state in binds] if room > 0 else []
+        # A line that still stands, or goes by this very reply, would make the bound pay for it too.
+        due = [k for k, at in sorted(self.left_at.items(), key=lambda item: item[1]) if 0 < now - at < HELD
+               and k not in self.laid and not self.withdrawn.get(k) and self.lines[k].state in binds
+               ] if room > 0 else []
         # Part of them only where lines outweigh heads, as with changes; the earliest to leave go first.
         due = due if room >= len(due) else due[:room] * (room >= head)
         for k in due:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -281,6 +281,7 @@
     play.say(f"60 proxies, reckoned to wait: {play.brain.queue:.0f} of 900 lines")
     for names in ("abcdef", "ghij", "klmn"):
         play.hear(changes(*(line(name, "draining") for name in names)))
+        play.run(0.1)
         assert play.brain.queue <= 900
     play.say(f"14 tasks leave, reckoned to wait: {play.brain.queue:.0f} lines")
     mark = play.brain.mark
@@ -289,6 +290,17 @@
     play.matches("shut_out_in_room")
 
 
+def test_a_task_is_shut_out_only_once_its_line_is_gone_or_the_bound_would_pay_for_it_too():
+    play = Play("abcdef", 40, queue_limit=1_000.0, channel_lines=400.0, applies=False)
+    play.hear(gp.ProxyJoined(40, 5.0, False, "z"))
+    play.hear(changes(line("a", "draining")))
+    play.run(0.4)
+    play.say(f"{play.brain.queue:.0f} of 1000 lines wait: no room for one more drain at the bound")
+    play.hear(changes(line("b", "draining")))
+    play.run(6)
+    play.matches("shut_out_after_its_line")
+
+
 def test_newcomers_start_as_tasks_of_their_kind_and_thin_readings_lean_on_it():
     play = Play(tasks="")
     kinds = {"a": "big", "b": "big", "c": "small", "d": "small"}
@@ -440,6 +452,7 @@
     play = Play(proxies=0, queue_limit=260.0, channel_lines=260.0, applies=False)
     play.hear(*(gp.ProxyJoined(p, 10.0 + p, True, "z") for p in range(12)))
     play.hear(changes(line("a", "draining")))
+    play.run(0.1)
     play.lose(perhaps=False)
     play.lose(perhaps=False)
     play.run(2)
