--- a/garnetpaddle/boot/told.py
+++ b/garnetpaddle/boot/told.py
@@ -23,7 +23,7 @@
     cold: float
     must_ask_in: float = 10.0
     dropped_stay_open: bool = False
-    stop_sending_within: float = 3.0  # the grace for drains; only further fronts read it
+    stop_sending_within: float = 3.0  # the grace for drains
 
 
 class Specifics(msgspec.Struct):
@@ -79,6 +79,7 @@
         message_span=tenths(it.counted_over),
         level_kind=it.level_kind,
         strikes=it.strikes,
+        grace=tenths(rules.stop_sending_within),
         proxies=max(it.agents, 1),
         assigners=max(told.balancers, 1),
         rank=told.rank,
--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -10,6 +10,7 @@
 import statistics
 
 from garnetpaddle import interface as gp
+from garnetpaddle.state import Proxy, Table, Wait
 
 SECOND = 10_000  # tenths of a ms
 HEIR = 60_000  # 6 s: how long proxies keep tables ordered before this start, better ones than even shares
@@ -28,13 +29,18 @@
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
 COLD_CALM = 0.6  # least calm for a cold line: however light, it gets all that proxies keep from others
 UNEVEN = 1.25  # times an even part of the proxies from which an assigner orders more of the fleet
+POOLED = 4.0  # s of the channel: binding all who are joined may take as long, or tables are smaller
+LINES = 8  # least of a smaller table: with fewer, whoever holds a bad task calls little else
+BARE = 2  # warm lines: a table with fewer beside others gets up to half of the largest one's
 THIN = 20  # s: a proxy that takes longer for the failures that make it avoid a task avoids few
 COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes of rule, health, weights: none holds up another
 ROOM = (0.97, 0.5, 0.5)  # of the queue limit: most that may wait after such a push
 IDLE, JOINS = 0.3, 0.6  # of the queue limit: weights start below; most after joins, the rest is for drains
+IN_TIME, REPEAT = 0.9, 0.4  # of the grace: binds that end by then need no shut-out; until one is repeated
 HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
+IDLE_WAIT, WEIGHTS_WAIT = 1.5, 5.0  # s of the channel: as IDLE and ROOM, where the limit is many seconds long
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
@@ -64,6 +70,7 @@
         self.hold, self.holds, self.good_probes, self.heard_at, self.good_at = 0, 0, 0, -SECOND, -SECOND
         self.headroom = self.failing = self.doubt = self.answers = self.busy = self.held = 0.0
         self.out = self.trial = self.slow = self.unlisted = False
+        self.table = None  # where it has its line
         self.forget()
 
     def warm(self, now):
@@ -76,27 +83,23 @@
         self.tries, self.failures, self.latency = 0, 0, 0.0
 
 
-class Proxy:
-    def __init__(self, joined, messages):
-        self.rate, self.fresh, self.aside = max(0.1, joined.rate), joined.fresh, joined.aside
-        self.bound, self.messages = False, messages
-
-
 class Brain:
     def __init__(self, terms, seed):
         self.terms, self.probe_wait = terms, int(PROBE_WAIT * min(r.slo_time for r in terms.routes))
         self.uniform = random.Random(seed).uniform
         self.tasks, self.lines, self.left_at, self.proxies = {}, {}, {}, {}
-        self.laid, self.withdrawn = {}, {}  # present: weights, 0 in doubt; what is shut out, False in doubt
-        self.admitted, self.notes, self.pending, self.covered = {}, [], [], {}  # admitted: the present levels
+        self.behind, self.calls, self.waiting = {}, 0.0, {}  # the channel; their calls; not surely bound
+        self.tables, self.withdrawn = [Table(1, -SECOND)], {}  # when what is shut out was, False in doubt
+        self.notes, self.pending, self.covered = [], [], {}
         self.due, self.serial = [(0, 0, Brain.watch, None)] * (terms.list_mode == "ask"), 0
-        self.queue, self.queue_at, self.written, self.sent, self.pushed_at = 0.0, 0, 0.0, {}, [-SECOND] * 3
-        # When the last push of each took effect (0: not yet); the mark it waits for, by proxies' calls.
+        self.queue, self.queue_at, self.written, self.sent, self.least = 0.0, 0, 0.0, {}, 0.0
+        # When the last push of each took effect (0: not yet); whose answers it waits for, by their calls.
         self.mark, self.effect, self.awaited = 0, {"weights": 0, "levels": 0}, {}
+        self.dealt_at, self.width = 0, 0.0  # last move between tables; widest part of the fleet so far
         self.beat_at = self.watch_fails = self.sums_at = self.since = self.late = self.moved_at = 0
         self.let_in, self.held, self.levels, self.calls_heard = 1.0, 1.0, {}, {}  # held: usually in hand
         self.size, self.cut, self.round = 0.0, False, terms.report_period  # mean listed size; no more tries
-        self.fleet, self.mine, self.table = 1, [], 1  # most ever ready; those it orders; its table's number
+        self.fleet, self.mine = 1, []  # most ever ready; those it orders
 
     def handle(self, now, events):
         orders = []
@@ -155,7 +158,7 @@
     def forget_gone(self, now, orders):  # left so long ago that no proxy can hold its line any more
         for k, line in list(self.lines.items()):
             gone = line.state != "ready" or self.tasks[k].unlisted and self.tasks[k].out
-            if gone and now - self.left_at[k] >= HELD and k not in self.laid:
+            if gone and now - self.left_at[k] >= HELD and not any(k in t.laid for t in self.tables):
                 orders += [gp.Withdraw(k, False)] * (self.withdrawn.pop(k, None) is not None)
                 del self.lines[k], self.left_at[k]
                 self.tasks.pop(k, None)
@@ -164,19 +167,34 @@
         orders.append(gp.Watch())
 
     def heard_join(self, now, event):
-        if not (self.proxies if event.aside else self.channel()):
+        if not (self.proxies if event.aside else self.behind):
             self.since, self.covered, self.pending = now, {}, []
             self.effect, self.awaited = {"weights": now, "levels": now}, {}  # chance tables are even ones
-        self.proxies[event.proxy] = Proxy(event, getattr(self.proxies.get(event.proxy), "messages", []))
+        known = self.drop(event.proxy)
+        self.proxies[event.proxy] = self.waiting[event.proxy] = proxy = Proxy(
+            now, event, known.messages if known else [])
+        # Followers aside take the same lines, but no sums are heard of them: they don't fill the queue, their
+        # answers don't empty it, and no step waits for one that stalls.
+        if not event.aside:
+            self.behind[event.proxy], self.calls = proxy, self.calls + proxy.rate
 
     def heard_leave(self, now, event):
-        self.proxies.pop(event.proxy, None)
+        self.drop(event.proxy)
         self.settle(now, event.proxy, self.mark)
 
-    def channel(self):
-        """The proxies behind the channel. Followers aside take the same lines, but no sums are heard of them:
-        they don't fill the queue, their answers don't empty it, and no step waits for one that stalls."""
-        return [p for p in self.proxies.values() if not p.aside]
+    def drop(self, number):
+        proxy, _ = self.proxies.pop(number, None), self.waiting.pop(number, None)
+        if proxy:
+            proxy.bind(False, None)
+        if self.behind.pop(number, None):
+            self.calls = self.calls - proxy.rate if self.behind else 0.0
+        return proxy
+
+    def bind(self, proxy, bound, table):
+        proxy.bind(bound, table)
+        self.waiting.pop(proxy.id, None)
+        if not bound:
+            self.waiting[proxy.id] = proxy
 
     def heard_applied(self, now, event):
         if event.mark in self.sent and not getattr(self.proxies.get(event.proxy), "aside", False):
@@ -190,33 +208,38 @@
         """Orders that nothing confirmed are neither done nor undone: what still differs goes out anew."""
         for order in event.orders:
             match order:
-                case gp.SetLine(task=k):
-                    self.laid[k] = 0.0
+                case gp.SetLine(table=number, task=k):
+                    for table in self.tables:
+                        table.laid |= {k: 0.0} if table.number == number else {}
                 case gp.Withdraw(task=k) if k in self.lines:
                     self.withdrawn[k] = False
-                case gp.Bind(proxy=p) if p in self.proxies:
-                    self.proxies[p].bound = None if event.perhaps else False
-                case gp.Admit():
-                    self.admitted = {}
+                case gp.Bind(proxy=p, table=number) if p in self.proxies:
+                    table = next((t for t in self.tables if t.number == number), None)
+                    self.bind(self.proxies[p], None if event.perhaps and table else False, table)
+                case gp.Admit(table=number):
+                    for table in self.tables:
+                        table.admitted = {} if table.number == number else table.admitted
                 case gp.Seal(mark=mark) if mark in self.sent and not event.perhaps:
                     self.queue = max(0.0, self.queue - self.sent.pop(mark)[2])
 
     def heard_doubt(self, now, event):
-        self.table, self.laid, self.admitted = self.table % 60_000 + 1, {}, {}  # laying that reaches nobody
+        self.tables = [Table(self.tables[-1].number % 60_000 + 1, -SECOND)]  # laying that reaches nobody
         self.withdrawn = dict.fromkeys(self.withdrawn, False)
         for proxy in self.proxies.values():
-            proxy.bound = False
+            self.bind(proxy, False, None)
 
     def settle(self, now, proxy, upto):  # a push has taken effect once all but a tenth of calls go by it
-        for what, (mark, waiting) in list(self.awaited.items()):
-            if (upto - mark) % 65_536 < 32_768:
-                waiting.pop(proxy, None)
-                if sum(waiting.values()) <= 0.1 * self.calls():
-                    self.effect[what] = now
-                    del self.awaited[what]
-
-    def calls(self):
-        return sum(p.rate for p in self.channel())
+        for what, wait in list(self.awaited.items()):
+            wait.heard(proxy, upto)
+            if wait.all_told and wait.calls <= 0.1 * self.calls:
+                self.effect[what] = now
+                del self.awaited[what]
+
+    def await_answers(self, what, proxies, all_told):
+        wait = self.awaited.setdefault(what, Wait())
+        for p in proxies if not wait.all_told else ():
+            wait.expect(p, self.mark)
+        wait.all_told = wait.all_told or all_told
 
     def heard_sums(self, now, event):
         if event.task in self.tasks and event.span <= now - self.since + self.terms.report_period:
@@ -276,7 +299,8 @@
 
     def usual_failing(self):
         """The median of the lines that stand: a few bad tasks leave it near zero, an overload does not."""
-        lately, stand = self.sums_at - HEARD * self.round, [self.tasks[k] for k in self.laid]
+        lately, stand = self.sums_at - HEARD * self.round, [k for table in self.tables for k in table.laid]
+        stand = [self.tasks[k] for k in stand]
         return statistics.median([t.failing for t in stand if t.heard_at > lately] or [0.0])
 
     def heard_probe(self, now, event):
@@ -323,7 +347,7 @@
         usual = sum(t.spent() for t in tasks) / sum(t.tries for t in tasks)
         # Tasks listed as of one kind tell of each other: a thin reading is pulled to its kind's average.
         kinds = {kind: [t for t in tasks if t.kind == kind] for kind in sorted({t.kind for t in tasks})}
-        for same in kinds.values() if any(not (p.bound or p.fresh) for p in self.channel()) else ():
+        for same in kinds.values() if any(not (p.bound or p.fresh) for p in self.behind.values()) else ():
             mean = statistics.fmean(t.tries for t in same)  # tables ordered before this start still stand:
             for t in same if not any(t.headroom for t in tasks) else ():  # their calls tell the shares
                 t.share = max(mean * (t.tries + FEW) / (mean + FEW), 1.0)
@@ -393,20 +417,49 @@
         return statistics.fmean([t.busy for t in self.ready() if t.busy and not t.out] or [0.0])
 
     def wanted(self, now):
-        """The lines that should stand: task -> weight, the average share being 1."""
+        """The lines that should stand: table -> task -> weight, the average share being 1."""
         ready = self.ready()
         self.fleet = max(self.fleet, len(ready))
-        self.mine = mine = self.part(now, ready)
+        self.mine = self.part(now, ready)
+        dealt = self.deal(now, self.mine)
+        calm, trouble = self.calm(), max(self.usual_failing(), self.silent(), self.piled() - 1)
+        calm, thin = calm**2 if calm > COLD_CALM else 0.0, COLD_CALM * (1 - 2 * trouble)
+        return {t: self.lines_of(now, tasks, len(ready), calm, thin) for t, tasks in dealt.items()}
+
+    def deal(self, now, mine):
+        """Each task has its line in one table. There is one, unless binding all who are joined to it would
+        outlast the grace for drains: then as many smaller ones as it takes, each for a part of them."""
+        it, proxies = self.terms, max(len(self.behind), self.terms.proxies / self.terms.assigners)
+        room = POOLED * it.channel_lines / proxies - it.head_lines - 2 - len(it.routes)
+        while len(self.tables) < math.ceil(len(mine) / max(room, LINES)):
+            self.tables.append(Table(self.tables[-1].number % 60_000 + 1, -SECOND))
+        dealt = {t: [] for t in self.tables}
+        for task in sorted(mine, key=lambda task: task.table not in dealt):  # the new ones last
+            if task.table not in dealt:
+                task.table = min(dealt, key=lambda t: len(dealt[t]))
+            dealt[task.table].append(task)
+        good = {t: [x for x in tasks if x.warm(now) and not x.out] for t, tasks in dealt.items()}
+        for poor in self.tables if len(self.tables) > 1 else ():
+            rich = max(good, key=lambda t: len(good[t]))
+            if len(good[poor]) < BARE < len(good[rich]) and (
+                    not poor.users or now - self.dealt_at >= PACE[1]):
+                self.dealt_at = now
+                for task in good[rich][-min(LINES, len(good[rich]) // 2):]:
+                    dealt[rich].remove(task)
+                    good[rich].remove(task)
+                    dealt[poor].append(task)
+                    good[poor].append(task)
+                    task.table = poor
+        return dealt
+
+    def lines_of(self, now, mine, ready, calm, thin):
         tasks = [t for t in mine if not t.out]
         if not any(t.warm(now) for t in tasks):  # failing beats none: the least doubtful warm task stays
             tasks += sorted((t for t in mine if t.out and t.warm(now)), key=lambda t: t.doubt)[:1]
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if t.warm(now)}
         # A cold task gets its ramp's part of an even share; while most fail, it would be crowded: it waits.
-        calm = self.calm() if full else 1.0
-        calm = calm**2 if calm > COLD_CALM else 0.0
-        if self.spread_thin(mine):
-            calm = max(calm, COLD_CALM * (1 - 2 * max(self.usual_failing(), self.silent(), self.piled() - 1)))
-        even = self.fleet * len(mine) / max(len(ready), 1)
+        calm = max(calm if full else 1.0, thin if self.spread_thin(mine) else 0.0)
+        even = self.fleet * len(mine) / max(ready, 1)
         ramp = {t.id: calm * self.ramp(now, t) / even for t in tasks if not t.warm(now)}
         taken = sum(ramp.values())
         ramp = ramp if full or taken >= COLD_ALONE else {}
@@ -414,18 +467,21 @@
         return full | {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
 
     def part(self, now, ready):  # where all tasks for all proxies overrun the channel, each orders a part
-        it, even, size = self.terms, 1 / self.terms.assigners, len(self.channel()) / self.terms.proxies
-        if it.proxies * even * (self.fleet + it.head_lines) <= it.queue_limit or max(size, even) >= 1:
+        it, even, size = self.terms, 1 / self.terms.assigners, len(self.behind) / self.terms.proxies
+        # With several tables it never narrows: who is bound to one of the wider part would lose all lines.
+        size = max(size if size > UNEVEN * even else even, self.width * (len(self.tables) > 1))
+        self.width = size
+        if it.proxies * even * (self.fleet + it.head_lines) <= it.queue_limit or size >= 1:
             return ready
         ready, first = sorted(ready, key=lambda t: t.id), round(len(ready) * it.rank / it.assigners)
         ready = ready[first:] + ready[:first]
         if it.homed and it.assigners >= it.zones:
             ready.sort(key=lambda t: t.zone != it.zone)
-        mine = ready[:math.ceil(len(ready) * (size if size > UNEVEN * even else even))]
+        mine = ready[:math.ceil(len(ready) * size)]
         return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
     def spread_thin(self, ready):  # a proxy meets each task too seldom to avoid any: none is crowded
-        each = self.calls() / max(len(self.channel()), 1) / max(len(ready), 1)
+        each = self.calls / max(len(self.behind), 1) / max(len(ready), 1)
         return not self.terms.strikes or self.terms.strikes / max(each, 0.001) > THIN
 
     def ramp(self, now, task):
@@ -437,7 +493,61 @@
         """The one place where wanted and present state are compared and the difference goes out."""
         still = (now - self.queue_at) * (now - self.moved_at > STILL) / SECOND
         self.queue, self.queue_at = max(0.0, self.queue - still * self.terms.channel_lines / 2), now
-        limit, lines, laid, changes = self.terms.queue_limit, self.wanted(now), self.laid, []
+        limit, wanted = self.terms.queue_limit, self.wanted(now)
+        joining = sorted(self.waiting.values(), key=lambda p: (-p.rate, p.id))
+        heir = now - self.since < HEIR and not any(t.headroom for t in self.tasks.values())
+        held = [p for p in joining if heir and not p.fresh]
+        joining = [p for p in joining if not heir or p.fresh]
+        # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
+        self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
+        tries = "none" if self.cut else "on proof"
+        levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
+        start, self.least, reached, all_told, news = self.written, limit, [], True, False
+        for table in sorted(self.tables, key=lambda t: t.pushed_at[2]):
+            fit, changes = self.push(now, table, wanted[table], joining, orders)
+            moved = [k for k in levels if levels[k] != table.admitted.get(k)]
+            moved = moved if fit or self.fits(now, [(1,)] * len(moved), table) else []
+            told = bool(moved and (table.admitted or self.let_in < 1))
+            for level in sorted({levels[k] for k in moved}):
+                routes = tuple(k for k in moved if levels[k] == level)
+                orders.append(gp.Admit(table.number, routes, *level))
+                if told and not news:
+                    self.notes.append(f"routes {routes} are let in at {level[0]:.0%}, tried again {tries}")
+            table.admitted = levels if moved else table.admitted
+            if fit or moved:
+                self.least = min(self.least, self.write(now, fit + len(moved), table.users.values()))
+                reached += table.users.values()
+            all_told, news = all_told and fit == changes, news or told
+        worth = {t: sum(lines.values()) for t, lines in wanted.items()}
+        # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
+        while joining:
+            p = joining[0]
+            table = max(self.tables, key=lambda t: worth[t] / (t.calls + p.rate))
+            lines = len(table.laid) + len(levels) + 1
+            if self.queue + lines + self.terms.head_lines + 1 > JOINS * limit:
+                break
+            orders.append(gp.Bind(p.id, table.number))
+            self.bind(p, True, table)
+            self.least = min(self.least, self.write(now, lines, [p]))
+            reached += joining[:1] * (not p.aside)
+            del joining[0]
+        self.shut_out(now, [p for p in joining + held if not p.aside], orders)
+        if self.written > start:
+            self.mark = (self.mark + 1) % 65_536
+            orders.append(gp.Seal(self.mark, False))
+            self.sent[self.mark] = [start, self.least, self.written - start]
+            self.sent.pop((self.mark - 64) % 65_536, None)
+        if news:
+            self.effect["levels"] = 0
+            self.awaited.pop("levels", None)
+            self.await_answers("levels", reached, True)
+        if not self.effect["weights"]:
+            self.await_answers("weights", reached, all_told)
+        self.settle(now, None, self.mark)  # where nothing moved enough to be sent, the last push still stands
+
+    def push(self, now, table, lines, joining, orders):
+        """Orders what differs in a table, as far as it may go now; returns how many lines, of how many."""
+        laid, changes = table.laid, []
         bare = not any(weight and k in lines for k, weight in laid.items())
         for k in laid:
             # A list that shrank to nothing: where being dropped does not bind, the last table stands.
@@ -453,90 +563,67 @@
                 urgency = 1 if weight < old and not warm else 2
                 changes.append((urgency, -abs(weight - old) * (warm or weight < old), k, weight))
         changes.sort()
-        joining = [p for _, p in sorted((-x.rate, p) for p, x in self.proxies.items() if not x.bound)]
-        heir = now - self.since < HEIR and not any(t.headroom for t in self.tasks.values())
-        held = [p for p in joining if heir and not self.proxies[p].fresh]
-        joining = [p for p in joining if not heir or self.proxies[p].fresh]
-        bound = [proxy for proxy in self.channel() if proxy.bound is not False]  # None: in doubt
-        start, fit = self.written, self.fits(now, changes, bound)
+        fit = self.fits(now, changes, table)
         for urgency, _, k, weight in changes[:fit]:
-            self.pushed_at[urgency] = now if bound else self.pushed_at[urgency]
+            table.pushed_at[urgency] = now if table.users else table.pushed_at[urgency]
             if weight and self.withdrawn.pop(k, None) is not None:
                 orders.append(gp.Withdraw(k, False))
-                self.write(now, 0, [self.proxies[p] for p in joining])
-            orders.append(gp.SetLine(self.table, k, round(weight, 3)))
+                self.write(now, 1, joining)
+            orders.append(gp.SetLine(table.number, k, round(weight, 3)))
             laid.pop(k, None)
             laid |= {k: weight} if weight else {}
             self.left_at[k] = self.left_at[k] if weight else now
-        # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
-        self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
-        tries = "none" if self.cut else "on proof"
-        levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
-        moved = [k for k in levels if levels[k] != self.admitted.get(k)]
-        moved = moved if fit or self.fits(now, [(1,)] * len(moved), bound) else []
-        news = bool(moved and (self.admitted or self.let_in < 1))
-        for level in sorted({levels[k] for k in moved}):
-            routes = tuple(k for k in moved if levels[k] == level)
-            orders.append(gp.Admit(self.table, routes, *level))
-            self.notes += [f"routes {routes} are let in at {level[0]:.0%}, tried again {tries}"] * news
-        self.admitted = levels if moved else self.admitted
-        least = self.write(now, fit + len(moved), bound) if fit or moved else limit
-        # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
-        lines, reached = len(laid) + len(levels) + 1, self.proxies if fit or moved else joining[:]
-        while joining and self.queue + lines + self.terms.head_lines + 1 <= JOINS * limit:
-            p = joining.pop(0)
-            orders.append(gp.Bind(p, self.table))
-            self.proxies[p].bound = True
-            least = min(least, self.write(now, lines, [self.proxies[p]]))
-        least = min(least, self.shut_out(
-            now, [x for p in joining + held if not (x := self.proxies[p]).aside], orders))
-        if self.written > start:
-            self.mark = (self.mark + 1) % 65_536
-            orders.append(gp.Seal(self.mark, False))
-            self.sent[self.mark] = [start, least, self.written - start]
-            self.sent.pop((self.mark - 64) % 65_536, None)
-        waiting = {p: x.rate for p in reached if not (x := self.proxies[p]).aside}
-        if news:
-            self.effect["levels"], self.awaited["levels"] = 0, (self.mark, dict(waiting))
-        if not self.effect["weights"] and "weights" not in self.awaited and fit == len(changes):
-            self.awaited["weights"] = self.mark, waiting
-        self.settle(now, None, self.mark)  # where nothing moved enough to be sent, the last push still stands
+        return fit, len(changes)
 
     def shut_out(self, now, waiting, orders):
         """Proxies that wait for their table may hold lines of tasks that left: these are shut out, as far as
-        the queue has room. Returns the fewest lines that an answer to it proves to have left."""
+        the queue has room, where the binds to come would outlast the grace."""
         head, binds = self.terms.head_lines + 1, ("draining", "gone" if self.terms.gone_binds else "draining")
-        room = int((ROOM[0] * self.terms.queue_limit - self.queue) / len(waiting) - head) if waiting else 0
+        lines = statistics.fmean(len(t.laid) for t in self.tables) + len(self.terms.routes) + 1 + head
+        if not waiting or self.queue + len(waiting) * lines <= (
+                IN_TIME * self.terms.grace * self.terms.channel_lines / SECOND) and now - self.since >= HEIR:
+            return
+        room = int((ROOM[0] * self.terms.queue_limit - self.queue) / len(waiting) - head)
         # A line that still stands, or goes by this very reply, would make the bound pay for it too.
         due = [k for k, at in sorted(self.left_at.items(), key=lambda item: item[1]) if 0 < now - at < HELD
-               and k not in self.laid and not self.withdrawn.get(k) and self.lines[k].state in binds
-               ] if room > 0 else []
+               and self.lines[k].state in binds and not any(k in t.laid for t in self.tables)
+               and self.unaware(now, k, waiting)] if room > 0 else []
         # Part of them only where lines outweigh heads, as with changes; the earliest to leave go first.
         due = due if room >= len(due) else due[:room] * (room >= head)
+        due = due * (len(due) + head <= lines)  # what costs more than the binds only keeps them waiting
         for k in due:
             orders.append(gp.Withdraw(k, True))
-            self.withdrawn[k] = True
-        self.write(now, len(due), waiting if due else ())
-        return head + 1 if due else self.terms.queue_limit  # who holds but one of them answers for one line
-
-    def fits(self, now, changes, bound):  # how many may go now, most urgent first, by pace, queue and cap
-        fit, head = 0, self.terms.head_lines + 1
+            self.withdrawn[k] = max(now, 1)
+        if due:
+            self.write(now, len(due), waiting)
+            self.least = min(self.least, head + 1)  # who holds but one of them answers for one line
+
+    def unaware(self, now, k, waiting):
+        """Whether some who wait are to be told that a task is out: a withdrawal reaches those who are joined
+        when it is given, and all of them again when it is repeated, so that waits for a part of the grace."""
+        at, before = self.withdrawn.get(k), now - REPEAT * self.terms.grace
+        return not at or any(at < p.joined_at <= before for p in waiting)
+
+    def fits(self, now, changes, table):  # how many may go now, most urgent first, by pace, queue and cap
+        fit, head, users, limit = 0, self.terms.head_lines + 1, len(table.users), self.terms.queue_limit
         for urgency in range(3):
             upto = sum(c[0] <= urgency for c in changes)
-            if upto <= fit or self.too_soon(now, urgency, bound):
+            if upto <= fit or self.too_soon(now, urgency, table):
                 continue
-            if not bound:
+            if not users:
                 fit = upto
-            elif fit or urgency < 2 or self.queue <= IDLE * self.terms.queue_limit:
-                room = int((ROOM[urgency] * self.terms.queue_limit - self.queue) / len(bound) - head)
+            elif fit or urgency < 2 or self.queue <= min(IDLE * limit, IDLE_WAIT * self.terms.channel_lines):
+                most = WEIGHTS_WAIT * self.terms.channel_lines if urgency == 2 else limit
+                room = int((min(ROOM[urgency] * limit, most) - self.queue) / users - head)
                 # Part of them only where lines outweigh heads: else the heads would fill the channel.
                 fit = upto if room >= upto else max(fit, room * (room >= head or urgency == 2))
         return fit
 
-    def too_soon(self, now, urgency, bound):
+    def too_soon(self, now, urgency, table):
         cap, since = self.terms.message_cap, now - self.terms.message_span - SECOND
-        full = cap and any(sum(at > since for at in p.messages) >= CAPPED[urgency] * cap - 1 for p in bound)
-        return full or now - self.pushed_at[urgency] < PACE[urgency]
+        full = cap and any(
+            sum(at > since for at in p.messages) >= CAPPED[urgency] * cap - 1 for p in table.users.values())
+        return full or now - table.pushed_at[urgency] < PACE[urgency]
 
     def write(self, now, lines, proxies):
         cost, self.moved_at = lines + self.terms.head_lines + 1, self.moved_at if self.queue else now
--- a/garnetpaddle/interface/terms.py
+++ b/garnetpaddle/interface/terms.py
@@ -34,4 +34,5 @@
     zone: str = ""  # it stands in
     zones: int = 1
     homed: bool = False  # proxies join an assigner of their own zone where there is one
+    grace: int = 30_000  # after which nobody may call a task that drains or is gone
     strikes: int = 0  # own failures in a row after which a proxy avoids a task; 0: never
--- a/garnetpaddle/rehearsal/day.py
+++ b/garnetpaddle/rehearsal/day.py
@@ -304,7 +304,7 @@
         ready = any(self.rules.closed_at.get(k) is None and self.nodes[k].warmth() >= 1 for k in self.seen)
         self.rules.look(self.proxies, self.channel.waits(), ready)
         if now % SAMPLE == 0:
-            laid = self.brain.laid if self.brain else {}
+            laid = {k: w for t in self.brain.tables for k, w in t.laid.items()} if self.brain else {}
             shown = {k: [round(laid.get(k, 0.0), 3), n.held()] for k, n in self.nodes.items()
                      if n.up or k in laid}
             waits = round(self.channel.waits(), 1)
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -159,8 +159,8 @@
             super().hear(*events)
             self.keeper = self.keeper or Keeper()
             reading = self.keeper.turn(self.now, events, self.last)
-            table = reading.tables.get(self.brain.table)
-            lines = {k: round(w, 3) for k, w in self.brain.laid.items() if w}
+            table = reading.tables.get(self.brain.tables[0].number)
+            lines = {k: round(w, 3) for k, w in self.brain.tables[0].laid.items() if w}
             assert (dict(table.lines) if table else {}) == lines
 
     play = Both()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -7,6 +7,10 @@
 from garnetpaddle import interface as gp
 
 
+def laid(brain):
+    return {k: weight for table in brain.tables for k, weight in table.laid.items()}
+
+
 def test_step_multiplies_by_headroom_and_sends_what_moved():
     play = Play()
     play.sums["a"] = (10, 0, 100)
@@ -290,6 +294,22 @@
     play.matches("shut_out_in_room")
 
 
+def test_where_binding_all_takes_too_long_there_are_smaller_tables_each_for_a_part_of_the_proxies():
+    names = [f"t{n:02}" for n in range(24)]
+    play = Play(names, 40, queue_limit=4_000.0, channel_lines=200.0)
+    play.say("24 tasks, 40 proxies, 200 lines a second: the whole table would take 7 s of the channel")
+    for table in play.brain.tables:
+        play.say(f"table {table.number}: {len(table.laid)} lines, {len(table.users)} proxies")
+    play.run(1)
+    one = play.brain.tables[1]
+    play.hear(changes(*(line(k, "draining") for k in [*one.laid][:-1])))
+    play.say("of the second all but one leave: it gets lines of the largest; few others hear of it")
+    play.run(4)
+    held = [k for table in play.brain.tables for k in table.laid]
+    assert sorted(held) == sorted(set(held)) and all(len(t.laid) > 1 for t in play.brain.tables)
+    play.matches("smaller_tables")
+
+
 def test_a_task_is_shut_out_only_once_its_line_is_gone_or_the_bound_would_pay_for_it_too():
     play = Play("abcdef", 40, queue_limit=1_000.0, channel_lines=400.0, applies=False)
     play.hear(gp.ProxyJoined(40, 5.0, False, "z"))
@@ -368,10 +388,10 @@
     for rank in range(2):
         play = Play(tasks=names, proxies=4, total=8, queue_limit=160.0, assigners=2, rank=rank)
         play.run(3)
-        assert sorted(play.brain.laid) == names[18 * rank:][:18]
+        assert sorted(laid(play.brain)) == names[18 * rank:][:18]
     play.hear(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(4, 8)))
     play.run(30)
-    assert sorted(play.brain.laid) == names  # the other assigner is gone, and its proxies came over
+    assert sorted(laid(play.brain)) == names  # the other assigner is gone, and its proxies came over
 
 
 def test_cold_lines_shrink_with_the_warm_ones():
@@ -410,7 +430,7 @@
     play.hear(*(gp.ProxyLeft(p) for p in range(4)))
     play.sums = {t: (20, 12, 300) for t in names[:18]}
     play.run(2)
-    assert len(play.brain.laid) == 18 and play.brain.usual_failing() > 0.3
+    assert len(laid(play.brain)) == 18 and play.brain.usual_failing() > 0.3
 
 
 def test_calls_in_hand_end_calm_before_late_sums_tell():
@@ -419,9 +439,9 @@
     play.run(4)
     play.hear(changes(line("e", started=4)))
     play.run(4)
-    assert "e" in play.brain.laid
+    assert "e" in laid(play.brain)
     play.hear(*(gp.ProbeAnswered(t, 5_000, "ok", {"in_hand": 30.0}) for t in "abcde"))
-    assert "e" not in play.brain.laid
+    assert "e" not in laid(play.brain)
 
 
 def test_cold_lines_grow_only_after_all_warm_changes_fit():
@@ -506,7 +526,7 @@
     play.run(9)
     play.sums = silent | play.sums | {"f": (10, 0, 800)}
     play.run(8)
-    assert set(play.brain.covered.values()) == {play.now - 10_000} and play.brain.laid["f"] < 0.7
+    assert set(play.brain.covered.values()) == {play.now - 10_000} and laid(play.brain)["f"] < 0.7
 
 
 @pytest.mark.parametrize("binds", [True, False])
@@ -558,7 +578,8 @@
     play.applies = True
     play.hear(gp.OrdersInDoubt(), *(gp.ProxyJoined(p, 5.0, False, "z") for p in range(20)))
     count = sum(p.bound for p in play.brain.proxies.values())
-    play.say(f"reckoned to wait: {play.brain.queue:.0f} lines for {count} bound to table {play.brain.table}")
+    number = play.brain.tables[0].number
+    play.say(f"reckoned to wait: {play.brain.queue:.0f} lines for {count} bound to table {number}")
     play.run(4)
     play.matches("queue")
 
@@ -633,7 +654,7 @@
 def test_whatever_is_lost_the_relay_ends_with_the_table_that_the_brain_holds(seed):
     relay, draw = Relay(seed), random.Random(seed).random
     play = Play(tasks="abcd", proxies=0, queue_limit=400.0, channel_lines=400.0)
-    relay.tables = {1: dict(play.brain.laid)}
+    relay.tables = {1: dict(laid(play.brain))}
     for turn in range(400):
         calm = turn > 250
         events = relay.hear(play.last, 0 if calm else 0.4)
@@ -654,9 +675,10 @@
         play.hear(*events)
     relay.hear(play.last, 0)
     brain = play.brain
-    stands = {k: weight for k, weight in relay.tables[brain.table].items() if weight}
-    assert stands == {k: round(weight, 3) for k, weight in brain.laid.items()}
-    assert relay.bound == dict.fromkeys(relay.bound, brain.table) and set(relay.bound) == set(brain.proxies)
+    number = brain.tables[0].number
+    stands = {k: weight for k, weight in relay.tables[number].items() if weight}
+    assert stands == {k: round(weight, 3) for k, weight in laid(brain).items()}
+    assert relay.bound == dict.fromkeys(relay.bound, number) and set(relay.bound) == set(brain.proxies)
     assert all(p.bound for p in brain.proxies.values())
     assert not any(relay.out.get(k) for k in stands)
 
