--- a/garnetpaddle/boot/told.py
+++ b/garnetpaddle/boot/told.py
@@ -36,6 +36,7 @@
     level_kind: str = "none"
     ranges: int = 0
     strikes: int = 0
+    base_mode: int = -1
     agents: int = 1
     homed_by_zone: bool = False
 
@@ -80,6 +81,7 @@
         level_kind=it.level_kind,
         strikes=it.strikes,
         grace=tenths(rules.stop_sending_within),
+        tries={0: "none", 1: "on proof", 2: "once"}.get(it.base_mode, ""),
         proxies=max(it.agents, 1),
         assigners=max(told.balancers, 1),
         rank=told.rank,
--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -37,7 +37,7 @@
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes of rule, health, weights: none holds up another
 ROOM = (0.97, 0.5, 0.5)  # of the queue limit: most that may wait after such a push
-IDLE, JOINS = 0.3, 0.6  # of the queue limit: weights start below; most after joins, the rest is for drains
+IDLE, JOINS = 0.3, (0.6, 0.8)  # of the queue limit: weights start below; most after joins, after late ones
 IN_TIME, REPEAT = 0.9, 0.4  # of the grace: binds that end by then need no shut-out; until one is repeated
 HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
 IDLE_WAIT, WEIGHTS_WAIT = 1.5, 5.0  # s of the channel: as IDLE and ROOM, where the limit is many seconds long
@@ -89,7 +89,7 @@
         self.uniform = random.Random(seed).uniform
         self.tasks, self.lines, self.left_at, self.proxies = {}, {}, {}, {}
         self.behind, self.calls, self.waiting = {}, 0.0, {}  # the channel; their calls; not surely bound
-        self.tables, self.withdrawn = [Table(1, -SECOND)], {}  # when what is shut out was, False in doubt
+        self.tables, self.withdrawn = [self.new_table(1)], {}  # when what is shut out was, False in doubt
         self.notes, self.pending, self.covered = [], [], {}
         self.due, self.serial = [(0, 0, Brain.watch, None)] * (terms.list_mode == "ask"), 0
         self.queue, self.queue_at, self.written, self.sent, self.least = 0.0, 0, 0.0, {}, 0.0
@@ -202,6 +202,8 @@
             reply = self.sent[event.mark]
             reply[0] += reply[1]
             self.queue, self.moved_at = max(0.0, min(self.queue, self.written - reply[0])), now
+            while self.sent and next(iter(self.sent.values()))[3] <= self.written - self.queue:
+                del self.sent[next(iter(self.sent))]  # all of it has left
         self.settle(now, event.proxy, event.mark)
 
     def heard_lost(self, now, event):
@@ -223,11 +225,14 @@
                     self.queue = max(0.0, self.queue - self.sent.pop(mark)[2])
 
     def heard_doubt(self, now, event):
-        self.tables = [Table(self.tables[-1].number % 60_000 + 1, -SECOND)]  # laying that reaches nobody
+        self.tables = [self.new_table(self.tables[-1].number % 60_000 + 1)]  # laying that reaches nobody
         self.withdrawn = dict.fromkeys(self.withdrawn, False)
         for proxy in self.proxies.values():
             self.bind(proxy, False, None)
 
+    def new_table(self, number):  # what stands in it unordered: all is let in, tried again as the terms say
+        return Table(number, -SECOND, {k: (1.0, self.terms.tries) for k in range(len(self.terms.routes))})
+
     def settle(self, now, proxy, upto):  # a push has taken effect once all but a tenth of calls go by it
         for what, wait in list(self.awaited.items()):
             wait.heard(proxy, upto)
@@ -235,12 +240,6 @@
                 self.effect[what] = now
                 del self.awaited[what]
 
-    def await_answers(self, what, proxies, all_told):
-        wait = self.awaited.setdefault(what, Wait())
-        for p in proxies if not wait.all_told else ():
-            wait.expect(p, self.mark)
-        wait.all_told = wait.all_told or all_told
-
     def heard_sums(self, now, event):
         if event.task in self.tasks and event.span <= now - self.since + self.terms.report_period:
             self.sums_at = self.sums_at if self.pending else now
@@ -432,7 +431,7 @@
         it, proxies = self.terms, max(len(self.behind), self.terms.proxies / self.terms.assigners)
         room = POOLED * it.channel_lines / proxies - it.head_lines - 2 - len(it.routes)
         while len(self.tables) < math.ceil(len(mine) / max(room, LINES)):
-            self.tables.append(Table(self.tables[-1].number % 60_000 + 1, -SECOND))
+            self.tables.append(self.new_table(self.tables[-1].number % 60_000 + 1))
         dealt = {t: [] for t in self.tables}
         for task in sorted(mine, key=lambda task: task.table not in dealt):  # the new ones last
             if task.table not in dealt:
@@ -494,7 +493,9 @@
         still = (now - self.queue_at) * (now - self.moved_at > STILL) / SECOND
         self.queue, self.queue_at = max(0.0, self.queue - still * self.terms.channel_lines / 2), now
         limit, wanted = self.terms.queue_limit, self.wanted(now)
-        joining = sorted(self.waiting.values(), key=lambda p: (-p.rate, p.id))
+        # Who has waited long may hold lines of tasks that left: that can't be put off any more.
+        long_ago = now - REPEAT * self.terms.grace
+        joining = sorted(self.waiting.values(), key=lambda p: (p.joined_at > long_ago, -p.rate, p.id))
         heir = now - self.since < HEIR and not any(t.headroom for t in self.tasks.values())
         held = [p for p in joining if heir and not p.fresh]
         joining = [p for p in joining if not heir or p.fresh]
@@ -502,29 +503,33 @@
         self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
         tries = "none" if self.cut else "on proof"
         levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
-        start, self.least, reached, all_told, news = self.written, limit, [], True, False
+        start, self.least, reached, all_told, news, drains_wait = self.written, limit, [], True, False, False
         for table in sorted(self.tables, key=lambda t: t.pushed_at[2]):
             fit, changes = self.push(now, table, wanted[table], joining, orders)
             moved = [k for k in levels if levels[k] != table.admitted.get(k)]
             moved = moved if fit or self.fits(now, [(1,)] * len(moved), table) else []
-            told = bool(moved and (table.admitted or self.let_in < 1))
+            known = table.admitted and (table.levelled or self.terms.tries)
+            told = bool(moved and (known or self.let_in < 1))
             for level in sorted({levels[k] for k in moved}):
                 routes = tuple(k for k in moved if levels[k] == level)
                 orders.append(gp.Admit(table.number, routes, *level))
+                table.levelled = True
                 if told and not news:
                     self.notes.append(f"routes {routes} are let in at {level[0]:.0%}, tried again {tries}")
             table.admitted = levels if moved else table.admitted
             if fit or moved:
                 self.least = min(self.least, self.write(now, fit + len(moved), table.users.values()))
                 reached += table.users.values()
-            all_told, news = all_told and fit == changes, news or told
+            all_told, news = all_told and fit == len(changes), news or told
+            drains_wait = drains_wait or fit < len(changes) and changes[fit][0] == 0
         worth = {t: sum(lines.values()) for t, lines in wanted.items()}
         # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
         while joining:
             p = joining[0]
+            late = p.joined_at <= long_ago
             table = max(self.tables, key=lambda t: worth[t] / (t.calls + p.rate))
-            lines = len(table.laid) + len(levels) + 1
-            if self.queue + lines + self.terms.head_lines + 1 > JOINS * limit:
+            lines = len(table.laid) + len(levels) * table.levelled + 1
+            if self.queue + lines + self.terms.head_lines + 1 > JOINS[late and not drains_wait] * limit:
                 break
             orders.append(gp.Bind(p.id, table.number))
             self.bind(p, True, table)
@@ -535,18 +540,17 @@
         if self.written > start:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.Seal(self.mark, False))
-            self.sent[self.mark] = [start, self.least, self.written - start]
-            self.sent.pop((self.mark - 64) % 65_536, None)
+            self.sent[self.mark] = [start, self.least, self.written - start, self.written]
         if news:
             self.effect["levels"] = 0
-            self.awaited.pop("levels", None)
-            self.await_answers("levels", reached, True)
+            self.awaited["levels"] = Wait()
+            self.awaited["levels"].ask(reached, self.mark, True)
         if not self.effect["weights"]:
-            self.await_answers("weights", reached, all_told)
+            self.awaited.setdefault("weights", Wait()).ask(reached, self.mark, all_told)
         self.settle(now, None, self.mark)  # where nothing moved enough to be sent, the last push still stands
 
     def push(self, now, table, lines, joining, orders):
-        """Orders what differs in a table, as far as it may go now; returns how many lines, of how many."""
+        """Orders what differs in a table, as far as it may go now; returns how many of what changes."""
         laid, changes = table.laid, []
         bare = not any(weight and k in lines for k, weight in laid.items())
         for k in laid:
@@ -573,7 +577,7 @@
             laid.pop(k, None)
             laid |= {k: weight} if weight else {}
             self.left_at[k] = self.left_at[k] if weight else now
-        return fit, len(changes)
+        return fit, changes
 
     def shut_out(self, now, waiting, orders):
         """Proxies that wait for their table may hold lines of tasks that left: these are shut out, as far as
@@ -601,8 +605,8 @@
     def unaware(self, now, k, waiting):
         """Whether some who wait are to be told that a task is out: a withdrawal reaches those who are joined
         when it is given, and all of them again when it is repeated, so that waits for a part of the grace."""
-        at, before = self.withdrawn.get(k), now - REPEAT * self.terms.grace
-        return not at or any(at < p.joined_at <= before for p in waiting)
+        at, long_ago = self.withdrawn.get(k), now - REPEAT * self.terms.grace
+        return not at or any(at < p.joined_at <= long_ago for p in waiting)
 
     def fits(self, now, changes, table):  # how many may go now, most urgent first, by pace, queue and cap
         fit, head, users, limit = 0, self.terms.head_lines + 1, len(table.users), self.terms.queue_limit
--- a/garnetpaddle/interface/terms.py
+++ b/garnetpaddle/interface/terms.py
@@ -35,4 +35,5 @@
     zones: int = 1
     homed: bool = False  # proxies join an assigner of their own zone where there is one
     grace: int = 30_000  # after which nobody may call a task that drains or is gone
+    tries: str = ""  # how proxies try again where no order says it: as in Admit; "": not known
     strikes: int = 0  # own failures in a row after which a proxy avoids a task; 0: never
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -20,8 +20,9 @@
 
 
 class Table:
-    def __init__(self, number, long_ago):
-        self.number, self.laid, self.admitted = number, {}, {}  # present: weights, 0 in doubt; levels
+    def __init__(self, number, long_ago, levels):
+        self.number, self.laid = number, {}  # present weights, 0 in doubt
+        self.admitted, self.levelled = levels, False  # present levels; whether any was ever ordered
         self.pushed_at, self.users, self.calls = [long_ago] * 3, {}, 0.0  # users: proxies behind the channel
 
 
@@ -31,9 +32,12 @@
     def __init__(self):
         self.by, self.calls, self.all_told = {}, 0.0, False  # by: proxy -> the mark, its calls
 
-    def expect(self, proxy, mark):
-        self.calls += proxy.rate - self.by.get(proxy.id, (0, 0.0))[1]
-        self.by[proxy.id] = mark, proxy.rate
+    def ask(self, proxies, mark, all_told):
+        """Once all have been told, who is told more later is not waited for."""
+        for proxy in proxies if not self.all_told else ():
+            self.calls += proxy.rate - self.by.get(proxy.id, (0, 0.0))[1]
+            self.by[proxy.id] = mark, proxy.rate
+        self.all_told = self.all_told or all_told
 
     def heard(self, proxy, upto):
         mark, rate = self.by.get(proxy, (None, 0.0))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -310,6 +310,24 @@
     play.matches("smaller_tables")
 
 
+def test_answers_are_known_however_many_replies_wait_in_the_channel():
+    play = Play("abcd", 0, queue_limit=9_000.0, channel_lines=400.0, applies=False)
+    for p in range(100):
+        play.hear(gp.ProxyJoined(p, 5.0, True, "z"))
+    assert play.brain.mark == 100 and play.brain.queue == 100 * 15
+    play.hear(*(gp.Applied(p, p + 1, 0) for p in range(10)))
+    assert play.brain.queue == 90 * 15 and len(play.brain.sent) == 90
+
+
+def test_levels_that_hold_unordered_are_not_ordered_until_they_change():
+    play = Play(tries="on proof")
+    play.run(3)
+    play.say("most fail")
+    play.sums = {t: (20, 12, 200) for t in "abcd"}
+    play.run(3)
+    play.matches("levels_unsaid")
+
+
 def test_a_task_is_shut_out_only_once_its_line_is_gone_or_the_bound_would_pay_for_it_too():
     play = Play("abcdef", 40, queue_limit=1_000.0, channel_lines=400.0, applies=False)
     play.hear(gp.ProxyJoined(40, 5.0, False, "z"))
