--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -349,7 +349,7 @@
     play.run(0.1)
     play.hear(changes(*(line(k, "draining") for k in "abcdefg")))
     play.hear(gp.ProxyJoined(0, 5.0, False, "z"))
-    play.say("its 7 lines may all be of tasks that left, and a bind would cost less: but it comes in 6 s only")
+    play.say("its 7 lines may all be of tasks that left, a bind would cost less, but comes in 6 s")
     play.run(1)
     assert sum("withdraw" in shown for shown in play.trace) == 1
     play.matches("shut_out_of_many")
