--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -165,6 +165,7 @@
         if lost and lost.waits():
             self.in_order_from = now + int(2 * SECOND * self.terms.queue_limit / self.terms.channel_lines)
             self.answered(now, lost, self.mark)
+            self.queue = self.unanswered  # and it broke before that was heard: nor do the last answers
         self.settle(now, event.proxy, self.mark)
 
     def drop(self, number):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -322,6 +322,9 @@
 def test_a_lost_stream_takes_its_lines_along_and_order_proves_nothing_for_a_while():
     play = Play("abcd", 60, queue_limit=2_000.0, channel_lines=400.0, applies=False)
     play.say(f"60 proxies are bound: {play.brain.queue:.0f} lines wait")
+    play.hear(gp.ProxyJoined(60, 5.0, True, "z"))
+    play.hear(gp.Applied(60, play.brain.mark, 0))
+    play.say(f"one more comes and answers first, as some streams have broken: {play.brain.queue:.0f}")
     play.hear(*(gp.ProxyLeft(p) for p in range(30, 50)))
     play.hear(*(gp.ProxyJoined(p, 5.0, True, "z") for p in range(30, 34)))
     play.say(f"20 leave, 4 come again: {play.brain.queue:.0f}")
