Parts by the channel's time, not by the queue limit alone, and pushes while little waits

Checked: no task fault tells it (77 of 100 tries failed on the small table, the median line none); binds and joins are over after 1 s; processor time at most 0.46 of a core. Ruled out: admission (level kind none), tries on proof (2 in 100 calls). At fault: `part` compared with the queue limit (16,700 lines, 8 s of the channel) what `deal` compares with 4 s of it, so that a whole of 16,128 lines was ordered in three tables; `fits` let health push at any queue under half of its limit, so heads of one-line pushes filled it; binds filled 0.6 of it. Change: a part where the whole takes over 4 s of the channel; health and weights start while under 0.75 s of it waits; binds up to 1.5 s. IDLE and two more limits went for it. It hurts where parts carry unequal load: equal headroom rests within each part only.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -36,11 +36,10 @@
 COLD_WAIT = 2.5  # report periods: a task just started can do little, and a jam would not yet be known of
 MOVED = 0.1  # a weight that moved by less is not sent
 PACE = (0, 3_000, 10_000)  # least time between pushes of rule, health, weights: none holds up another
-ROOM = (0.97, 0.5, 0.5)  # of the queue limit: most that may wait after such a push
-IDLE, JOINS = 0.3, (0.6, 0.8)  # of the queue limit: weights start below; most after joins, after late ones
+ROOM, JOINS = (0.97, 0.5, 0.5), (0.6, 0.8)  # of the queue limit: most after such a push; joins, late ones
 IN_TIME, REPEAT = 0.9, 0.4  # of the grace: binds that end by then need no shut-out; until one is repeated
 HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
-IDLE_WAIT, WEIGHTS_WAIT = 1.5, 5.0  # s of the channel: as IDLE and ROOM, where the limit is many seconds long
+START, MOST, BINDS = 0.75, 5.0, 1.5  # s of the channel: health and weights start below; most then; binds
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
@@ -437,7 +436,7 @@
         for poor in self.tables if len(self.tables) > 1 else ():
             rich, few = max(strength, key=strength.get), len(good[poor]) < BARE
             pace = 0 if few and not poor.users else PACE[1 if few else 2]
-            if (few or 2 * strength[poor] < strength[rich] and self.queue <= IDLE * it.queue_limit) and (
+            if (few or 2 * strength[poor] < strength[rich] and self.queue <= START * it.channel_lines) and (
                     now - self.dealt_at >= pace):
                 self.dealt_at = now if poor.users else self.dealt_at
                 for task in good[rich][len(good[rich]) - min(LINES, len(good[rich]) // 2):]:
@@ -464,11 +463,12 @@
         total = sum(full.values()) / (1 - min(taken, 0.9)) if full else even
         return full | {k: part * total for k, part in ramp.items() if part * total >= LEAST_WEIGHT}
 
-    def part(self, now, ready):  # where all tasks for all proxies overrun the channel, each orders a part
+    def part(self, now, ready):
+        """Each orders a part where the whole takes the channel too long; with several tables none narrows."""
         it, even, size = self.terms, 1 / self.terms.assigners, len(self.behind) / self.terms.proxies
-        # With several tables it never narrows: who is bound to one of the wider part would lose all lines.
         self.width = size = max(size if size > UNEVEN * even else even, self.width * (len(self.tables) > 1))
-        if it.proxies * even * (self.fleet + it.head_lines) <= it.queue_limit or size >= 1:
+        whole = it.proxies * even * (self.fleet + it.head_lines)
+        if whole <= min(it.queue_limit, POOLED * it.channel_lines) or size >= 1:
             return ready
         ready, first = sorted(ready, key=lambda t: t.id), round(len(ready) * it.rank / it.assigners)
         ready = ready[first:] + ready[:first]
@@ -491,6 +491,7 @@
         still = (now - self.queue_at) * (now - self.moved_at > STILL) / SECOND
         self.queue, self.queue_at = max(0.0, self.queue - still * self.terms.channel_lines / 2), now
         limit, wanted = self.terms.queue_limit, self.wanted(now)
+        joins = min(JOINS[0] * limit, BINDS * self.terms.channel_lines), JOINS[1] * limit
         long_ago = now - REPEAT * self.terms.grace  # who waits since may well hold lines of what left
         joining = sorted(self.waiting.values(), key=lambda p: (p.joined_at > long_ago, -p.rate, p.id))
         heir = now - self.since < HEIR and not any(t.headroom for t in self.tasks.values())
@@ -505,8 +506,7 @@
             fit, changes = self.push(now, table, wanted[table], joining, orders)
             moved = [k for k in levels if levels[k] != table.admitted.get(k)]
             moved = moved if fit or self.fits(now, [(1,)] * len(moved), table) else []
-            known = table.admitted and (table.levelled or self.terms.tries)
-            told = bool(moved and (known or self.let_in < 1))
+            told = moved and (self.let_in < 1 or table.admitted and (table.levelled or self.terms.tries))
             for level in sorted({levels[k] for k in moved}):
                 routes = tuple(k for k in moved if levels[k] == level)
                 orders.append(gp.Admit(table.number, routes, *level))
@@ -517,7 +517,7 @@
             if fit or moved:
                 self.least = min(self.least, self.write(now, fit + len(moved), table.users.values()))
                 reached += table.users.values()
-            all_told, news = all_told and fit == len(changes), news or told
+            all_told, news = all_told and fit == len(changes), news or bool(told)
             drains_wait = drains_wait or fit < len(changes) and changes[fit][0] == 0
         worth = {t: sum(lines.values()) for t, lines in wanted.items()}
         # Binds never crowd out a drain: those with most calls first, the others keep what they hold.
@@ -526,7 +526,7 @@
             late = p.joined_at <= long_ago
             table = max(self.tables, key=lambda t: worth[t] / (t.calls + p.rate))
             lines = len(table.laid) + len(levels) * table.levelled + 1
-            if self.queue + lines + self.terms.head_lines + 1 > JOINS[late and not drains_wait] * limit:
+            if self.queue + lines + self.terms.head_lines + 1 > joins[late and not drains_wait]:
                 break
             orders.append(gp.Bind(p.id, table.number))
             self.bind(p, True, table)
@@ -611,8 +611,8 @@
                 continue
             if not users:
                 fit = upto
-            elif fit or urgency < 2 or self.queue <= min(IDLE * limit, IDLE_WAIT * self.terms.channel_lines):
-                most = WEIGHTS_WAIT * self.terms.channel_lines if urgency == 2 else limit
+            elif fit or not urgency or self.queue <= START * self.terms.channel_lines:
+                most = MOST * self.terms.channel_lines if urgency else limit
                 room = int((min(ROOM[urgency] * limit, most) - self.queue) / users - head)
                 # Part of them only where lines outweigh heads: else the heads would fill the channel.
                 fit = upto if room >= upto else max(fit, room * (room >= head or urgency == 2))
