Outs limited within the own part, failures by calls, cold lines by the calls of their table

Ruled out: two assigners on one cold task (one alone laid it), late weights (unchanged for 6 s), a wrong start time. At fault: `judge` took 0.3 of all listed tasks' shares though it sees a fifth; `usual_failing` was the median line; the hold counted rounds of reports (9 s and more here), not periods; `lines_of` gave a cold task its part of its table's lines, whatever calls came to it; `spread_thin` counted all tasks of a table, not lines that stand, and no repeated tries. Change: each of these where it stands; a cold task's part is in proportion to its kind's share; the guard for few warm lines went. Health starts under 1.5 s of the channel, since binds kept it above 0.75 s and outs from going. It hurts in a jam with real faults in it: while calls fail everywhere nothing is taken out.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import heapq
+import itertools
 import math
 import random
 import statistics
@@ -39,7 +40,7 @@
 ROOM, JOINS = (0.97, 0.5, 0.5), (0.6, 0.8)  # of the queue limit: most after such a push; joins, late ones
 IN_TIME, REPEAT = 0.9, 0.4  # of the grace: binds that end by then need no shut-out; until one is repeated
 HELD = 600_000  # 60 s: how long a proxy out of reach may hold the line of a task that left
-START, MOST, BINDS = 0.75, 5.0, 1.5  # s of the channel: health and weights start below; most then; binds
+START, MOST, BINDS = (math.inf, 1.5, 0.75), 5.0, 1.5  # s of the channel: pushes start below; most then; binds
 CAPPED = (0.95, 0.6, 0.4)  # most of the message cap that may be in use likewise
 SURE = 5.3  # ln 200: odds at which a task is held bad, one false alarm in 200 tests
 TRUST = 2.0  # most evidence a good past may save up against new failures
@@ -77,7 +78,7 @@
         self.mark, self.effect, self.awaited = 0, {"weights": 0, "levels": 0}, {}
         self.queue_at = self.in_order_from = self.dealt_at = 0  # dealt: last move between tables
         self.beat_at = self.watch_fails = self.sums_at = self.since = self.late = self.moved_at = 0
-        self.let_in, self.held, self.levels, self.calls_heard = 1.0, 1.0, {}, {}  # held: usually in hand
+        self.let_in, self.held, self.usual, self.levels, self.calls_heard = 1.0, 1.0, 0.0, {}, {}
         self.size, self.cut, self.round = 0.0, False, terms.report_period  # mean listed size; no more tries
         self.fleet, self.mine, self.width = 1, [], 0.0  # most ever ready; those it orders; widest part
 
@@ -121,7 +122,6 @@
         state = known.state if known else "gone"
         if line.state == "gone" and (state == "draining" or state == "ready" and not self.terms.gone_binds):
             if state == "ready":
-                # The list may be wrong: what it says counts as evidence, and calls and probes say the rest.
                 task.doubt, task.unlisted, self.left_at[line.task] = max(task.doubt, UNLISTED), True, now
             return
         if line.state == "ready":
@@ -158,8 +158,7 @@
             self.behind[event.proxy], self.calls = proxy, self.calls + proxy.rate
 
     def heard_leave(self, now, event):
-        # What waited for it is lost, and the messages behind may leave before older ones do: for as long as
-        # the channel may take to empty, an answer proves nothing of other proxies' messages.
+        # Its lines vanish, later messages overtake: until the channel may have emptied, order proves nothing.
         lost = self.drop(event.proxy)
         if lost and lost.waits():
             self.in_order_from = now + int(2 * SECOND * self.terms.queue_limit / self.terms.channel_lines)
@@ -266,9 +265,11 @@
                 task.latency += sums[2]
             if 0 < self.effect["levels"] <= until - event.span / 2:
                 since = [a + b for a, b in zip(since, sums, strict=True)]
-        for name, sums in heard.items():
-            self.learn(now, self.tasks[name], *sums)
-        if self.usual_failing() < NO_TRIES:
+        judged = [(self.tasks[name], *sums) for name, sums in heard.items() if self.learn(now, name, *sums)]
+        self.usual = self.usual_failing(now)
+        for task, tries, failures, _ in judged:
+            self.weigh(task, failures, tries - failures, self.usual)
+        if self.usual < NO_TRIES:
             self.held *= 1 + BETA * (max(self.piled() * PILED, 1 / self.held) - 1)
         if since[0] and self.terms.level_kind == "fraction":
             self.admit(*since)
@@ -276,24 +277,24 @@
         if tasks and sum(t.tries for t in tasks) >= ENOUGH[any(t.headroom for t in tasks)] * len(tasks):
             self.step(tasks)
 
-    def learn(self, now, task, tries, failures, latency):
-        task.heard_at, good = now, tries - failures
+    def learn(self, now, name, tries, failures, latency):
+        """Slow answers are overload, which the step eases: out, it would jam others. So with probes."""
+        task, good = self.tasks[name], tries - failures
+        task.heard_at, task.met = now, task.met + BETA * (tries - task.met)
         task.failing += tries / (tries + FEW) * (failures / tries - task.failing)
-        # Slow answers are overload, which the step eases: out, it would jam others in turn. So with probes.
         if good:
             task.answers, task.good_at = (task.answers or latency / good) / 2 + latency / good / 2, now
         task.slow = now - task.good_at < HEARD * self.round and task.answers > 2 * self.usual_latency(task)
-        if not task.slow:
-            self.weigh(task, failures, good, self.usual_failing())
+        return not task.slow
 
     def usual_latency(self, of):
         return statistics.median([t.answers for t in self.ready() if t.answers and t.kind == of.kind] or [0])
 
-    def usual_failing(self):
-        """The median of the lines that stand: a few bad tasks leave it near zero, an overload does not."""
-        lately, stand = self.sums_at - HEARD * self.round, [k for table in self.tables for k in table.laid]
-        stand = [self.tasks[k] for k in stand]
-        return statistics.median([t.failing for t in stand if t.heard_at > lately] or [0.0])
+    def usual_failing(self, now):
+        """What the median call met lately: a few bad tasks leave it near zero, an overload does not."""
+        met = sorted((t.failing, t.met) for t in self.ready() if now - t.heard_at < HEARD * self.round)
+        upto = list(itertools.accumulate(calls for _, calls in met))
+        return next((failing for (failing, _), c in zip(met, upto, strict=True) if 2 * c >= upto[-1]), 0.0)
 
     def heard_probe(self, now, event):
         task = self.tasks.get(event.task)
@@ -361,7 +362,7 @@
     def admit(self, tries, failures, latency):
         """How much work to let in where the fleet is short, least worth first; SLO time stands for work."""
         slo = statistics.fmean(r.slo_time for r in self.terms.routes)
-        late = latency / max(tries - failures, 1) > LATE * slo or self.usual_failing() > NO_TRIES
+        late = latency / max(tries - failures, 1) > LATE * slo or self.usual > NO_TRIES
         pressure = self.busy() / FULL
         if late:
             pressure = max(pressure * JAMMED, self.piled(), 1.0)  # never more; idle cores: something shared
@@ -385,19 +386,19 @@
                 t.out, t.doubt, t.trial = False, SURE / 2, True
                 t.forget()
                 self.notes.append(f"{t.id} is let back on trial")
-        gone = sum(t.share for t in ready if (t.out or t.trial) and t not in lost)
-        most = OUT_MOST * self.calm() * sum(t.share for t in ready)
+        gone = sum(t.share for t in self.mine if (t.out or t.trial) and t not in lost)
+        most = OUT_MOST * self.calm() * sum(t.share for t in self.mine)
         for t in sorted(ready, key=lambda t: -t.doubt):
             if not t.out and t.doubt >= SURE and (t in lost or gone + t.share <= most):
                 gone += t.share * (t not in lost)
-                t.hold = now + int(min(HOLD * 2 ** t.holds, HOLD_MOST) * self.round) * (t not in lost)
+                t.hold = now + min(HOLD * 2**t.holds, HOLD_MOST) * self.terms.report_period * (t not in lost)
                 t.out, t.good_probes, t.holds = True, 0, t.holds + (t not in lost)
                 self.notes.append(f"{t.id} is taken out: it fails calls that others answer")
 
     def calm(self):
         """1 while few tasks fail, 0 once most fail a third of their calls or many their probes: overload."""
         jam = max(3 * (self.silent() - MANY), self.piled() - 1, (self.busy() - TIGHT) / (1 - TIGHT))
-        return min(max(0.0, 1 - max(3 * self.usual_failing(), jam)), 1.0)
+        return min(max(0.0, 1 - max(3 * self.usual, jam)), 1.0)
 
     def piled(self):
         return statistics.median([t.held for t in self.mine] or [0.0]) / self.held / PILED
@@ -414,9 +415,11 @@
         self.fleet = max(self.fleet, len(ready))
         self.mine = self.part(now, ready)
         dealt, calm = self.deal(now, self.mine), self.calm()
-        trouble = max(self.usual_failing(), self.silent(), self.piled() - 1)
-        calm, thin = calm**2 if calm > COLD_CALM else 0.0, COLD_CALM * (1 - 2 * trouble)
-        return {t: self.lines_of(now, tasks, len(ready), calm, thin) for t, tasks in dealt.items()}
+        thin = 1 - max(self.usual, self.silent(), self.piled() - 1)
+        each = max(self.calls, 0.1) * max(self.terms.proxies / max(len(self.behind), 1), 1) / self.fleet
+        even = self.fleet / max(len(ready), 1)
+        return {t: self.lines_of(now, tasks, max(t.calls / each, even * len(tasks)), calm, thin)
+                for t, tasks in dealt.items()}
 
     def deal(self, now, mine):
         """Each task has its line in one table. There is one, unless binding all who are joined to it would
@@ -436,8 +439,8 @@
         for poor in self.tables if len(self.tables) > 1 else ():
             rich, few = max(strength, key=strength.get), len(good[poor]) < BARE
             pace = 0 if few and not poor.users else PACE[1 if few else 2]
-            if (few or 2 * strength[poor] < strength[rich] and self.queue <= START * it.channel_lines) and (
-                    now - self.dealt_at >= pace):
+            due = few or 2 * strength[poor] < strength[rich] and self.queue <= START[2] * it.channel_lines
+            if due and now - self.dealt_at >= pace:
                 self.dealt_at = now if poor.users else self.dealt_at
                 for task in good[rich][len(good[rich]) - min(LINES, len(good[rich]) // 2):]:
                     task.table = poor
@@ -447,16 +450,13 @@
                 strength |= {t: len(good[t]) / (t.calls + spare) for t in (poor, rich)}
         return dealt
 
-    def lines_of(self, now, mine, ready, calm, thin):
+    def lines_of(self, now, mine, even, calm, thin):
         tasks = [t for t in mine if not t.out]
         if not any(t.warm(now) for t in tasks):  # failing beats none: the least doubtful warm task stays
             tasks += sorted((t for t in mine if t.out and t.warm(now)), key=lambda t: t.doubt)[:1]
         full = {t.id: min(t.share, TRIAL) if t.trial else t.share for t in tasks if t.warm(now)}
         # A cold task gets its ramp's part of an even share; while most fail, it would be crowded: it waits.
-        calm = max(calm if full else 1.0, thin if self.spread_thin(mine) else 0.0)
-        even = self.fleet * len(mine) / max(ready, 1)
-        # Of few warm lines in a smaller table the loss of each would crowd the cold ones beside them.
-        calm *= min(2 * len(full) / max(len(mine), 1), 1.0) if len(self.tables) > 1 and full else 1.0
+        calm = max(calm**2 * (calm > COLD_CALM) if full else 1.0, thin if self.spread_thin(full) else 0.0)
         ramp = {t.id: calm * self.ramp(now, t) / even for t in tasks if not t.warm(now)}
         taken = sum(ramp.values())
         ramp = ramp if full or taken >= COLD_ALONE else {}
@@ -477,14 +477,14 @@
         mine = ready[:math.ceil(len(ready) * size)]
         return mine if any(t.warm(now) and not t.out for t in mine) else ready
 
-    def spread_thin(self, ready):  # a proxy meets each task too seldom to avoid any: none is crowded
-        each = self.calls / max(len(self.behind), 1) / max(len(ready), 1)
+    def spread_thin(self, lines):  # a proxy meets each task too seldom to avoid any: none is crowded
+        each = self.calls / max(len(self.behind), 1) / max(len(lines), 1) / (1.001 - self.usual)  # come again
         return not self.terms.strikes or self.terms.strikes / max(each, 0.001) > THIN
 
     def ramp(self, now, task):
         age, start, fall = now - task.ramp_from, self.terms.start_share, self.terms.fall_multiple
         bears = COLD_PART * (fall * (start + (1 - start) * min(age / task.ramp_for, 1)))
-        return min(task.share, bears) * (age >= COLD_WAIT * self.terms.report_period)
+        return task.share * min(bears, 1.0) * (age >= COLD_WAIT * self.terms.report_period)
 
     def emit(self, now, orders):
         """The one place where wanted and present state are compared and the difference goes out."""
@@ -498,7 +498,7 @@
         held = [p for p in joining if heir and not p.fresh]
         joining = [p for p in joining if not heir or p.fresh]
         # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
-        self.cut = self.usual_failing() > (NO_TRIES / 2 if self.cut else NO_TRIES)
+        self.cut = self.usual > (NO_TRIES / 2 if self.cut else NO_TRIES)
         tries = "none" if self.cut else "on proof"
         levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
         start, self.least, reached, all_told, news, drains_wait = self.written, limit, [], True, False, False
@@ -611,7 +611,7 @@
                 continue
             if not users:
                 fit = upto
-            elif fit or not urgency or self.queue <= START * self.terms.channel_lines:
+            elif fit or self.queue <= START[urgency] * self.terms.channel_lines:
                 most = MOST * self.terms.channel_lines if urgency else limit
                 room = int((min(ROOM[urgency] * limit, most) - self.queue) / users - head)
                 # Part of them only where lines outweigh heads: else the heads would fill the channel.
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -10,7 +10,7 @@
         self.id, self.kind, self.zone, self.share, self.probed = line.task, line.kind, line.zone, share, "ok"
         self.ramp_from, self.ramp_for = line.started_at, warm_after if line.started_at else 0
         self.hold, self.holds, self.good_probes, self.heard_at, self.good_at = 0, 0, 0, NEVER, NEVER
-        self.headroom = self.failing = self.doubt = self.answers = self.busy = self.held = 0.0
+        self.headroom = self.failing = self.met = self.doubt = self.answers = self.busy = self.held = 0.0
         self.out = self.trial = self.slow = self.unlisted = False
         self.table = None  # where it has its line
         self.forget()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -451,19 +451,67 @@
 
 
 def test_what_health_changes_goes_together_once_little_waits_in_the_channel():
-    """Pushes of a line each kept the channel full of heads, and each took effect when all of them had left."""
-    play = Play("abcdefghijkl", 30, queue_limit=4_000.0, channel_lines=300.0)
+    """Pushes of a line each kept the channel full of heads, and all took effect when the last had left."""
+    play = Play("abcdefghij", 31, queue_limit=4_000.0, channel_lines=165.0)
     play.run(5)
     play.coming, play.applies = [], False
-    for bad in "abc":
+    for bad in "ab":
         play.hear(*(gp.ProbeAnswered(bad, 6_000, "timeout", {}) for _ in range(5)))
         play.say(f"{bad} fails its probes; {play.brain.queue:.0f} lines wait")
         play.run(0.5)
-    play.hear(*(gp.Applied(p, play.brain.mark, 0) for p in range(30)))
+    play.hear(*(gp.Applied(p, play.brain.mark, 0) for p in range(31)))
     play.run(0.2)
     play.matches("health_together")
 
 
+def test_the_limit_on_outs_is_of_the_own_part():
+    """It was of all that are listed, most of which others order: half of the own were out (zone+mass)."""
+    names = [f"t{n:02}" for n in range(36)]
+    play = Play(names, 4, total=8, queue_limit=160.0, assigners=2)
+    play.run(3)
+    play.sums |= {t: (10, 10, 0) for t in names[:8]}
+    play.run(3)
+    assert 0 < sum(t.out for t in play.brain.tasks.values()) <= 5  # 0.3 of 18
+
+
+def test_failures_are_held_against_what_the_median_call_meets():
+    """In a jam most calls were at few lines, and the median line met none of it: all was taken for faults."""
+    play = Play("abcdefgh")
+    play.run(3)
+    play.sums |= dict.fromkeys("abc", (60, 36, 300)) | dict.fromkeys("defgh", (6, 0, 300))
+    play.run(6)
+    assert not any("taken out" in shown for shown in play.trace)
+
+
+def test_a_hold_counts_periods_not_how_long_reports_take_to_go_round():
+    play = Play()
+    play.run(3)
+    play.brain.round = 90_000  # so many pairs that each is told of every 9 s
+    play.hear(*(gp.ProbeAnswered("a", 6_000, "timeout", {}) for _ in range(5)))
+    play.run(4)
+    assert [shown[7:] for shown in play.trace if "let back" in shown][0].startswith("a=")
+
+
+def test_cold_lines_are_reckoned_by_the_calls_of_their_table():
+    """A cold task among the lines of a table with thrice the calls got thrice its part, and fell over."""
+    play = Play([f"t{n:02}" for n in range(24)], 40, queue_limit=4_000.0, channel_lines=200.0)
+    play.run(3)
+    play.hear(changes(line("t00", "draining")))
+    play.hear(changes(line("t00", started=3.0)))
+    table = play.brain.tasks["t00"].table
+    play.hear(*(gp.ProxyLeft(p) for t in play.brain.tables if t is not table for p in list(t.users)))
+    play.run(14)
+    calls = table.calls * table.laid["t00"] / sum(table.laid.values())
+    assert 0 < calls <= 1.05 * play.brain.calls / 24
+
+
+def test_proxies_avoid_tasks_sooner_the_fewer_lines_stand_and_the_more_fail():
+    play = Play("abcdefgh", 40, strikes=60)
+    assert play.brain.spread_thin("abcdefgh") and not play.brain.spread_thin("ab")
+    play.brain.usual = 0.7
+    assert not play.brain.spread_thin("abcdefgh")
+
+
 def test_cold_lines_shrink_with_the_warm_ones():
     play = Play(tasks="abcdefgh")
     play.run(1)
@@ -500,7 +548,7 @@
     play.hear(*(gp.ProxyLeft(p) for p in range(4)))
     play.sums = {t: (20, 12, 300) for t in names[:18]}
     play.run(2)
-    assert len(laid(play.brain)) == 18 and play.brain.usual_failing() > 0.3
+    assert len(laid(play.brain)) == 18 and play.brain.usual > 0.3
 
 
 def test_calls_in_hand_end_calm_before_late_sums_tell():
