Cold tasks bear 0.6 of their budget; failing probes counted within the own part

COLD_ALONE goes along, so that cold tasks alone stand as soon as before. At fault: `silent` over `ready()`, of which four in five are probed by others; COLD_PART. It hurts where a task is far weaker than its kind: it gets half as much again while cold.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -25,8 +25,8 @@
 ENOUGH = (3, 8)  # answers a task on average before a step: the first, when kinds tell more; the others
 FAILED = SECOND  # a failed answer counts as 1 s of latency
 SETTLE = 1_500  # 0.15 s: the lines of one report may come over several batches
-COLD_PART = 0.4  # of what a cold task bears: the rest is for tries again, bursts and weak machines
-COLD_ALONE = 0.3  # of the fleet's work: with no warm task, cold ones that can do less would fall over
+COLD_PART = 0.6  # of what a cold task bears: the rest is for bursts and weak machines
+COLD_ALONE = 0.45  # of the fleet's work: with no warm task, cold ones that can do less would fall over
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
 COLD_CALM = 0.6  # least calm for a cold line: however light, it gets all that proxies keep from others
 UNEVEN = 1.25  # times an even part of the proxies from which an assigner orders more of the fleet
@@ -404,7 +404,7 @@
         return statistics.median([t.held for t in self.mine] or [0.0]) / self.held / PILED
 
     def silent(self):
-        return statistics.fmean([t.probed != "ok" for t in self.ready() if not t.out] or [0.0])
+        return statistics.fmean([t.probed != "ok" for t in self.mine if not t.out] or [0.0])
 
     def busy(self):
         return statistics.fmean([t.busy for t in self.ready() if t.busy and not t.out] or [0.0])
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -474,6 +474,15 @@
     assert 0 < sum(t.out for t in play.brain.tasks.values()) <= 5  # 0.3 of 18
 
 
+def test_probes_that_fail_end_calm_by_their_share_of_the_own_part():
+    """Only the own part is probed: counted among all that are listed, a jam of the whole part was none."""
+    names = [f"t{n:02}" for n in range(36)]
+    play = Play(names, 4, total=8, queue_limit=160.0, assigners=2)
+    play.probes = dict.fromkeys(names[:14], "error")
+    play.run(2)
+    assert play.brain.calm() < 0.5
+
+
 def test_failures_are_held_against_what_the_median_call_meets():
     """In a jam most calls were at few lines, and the median line met none of it: all was taken for faults."""
     play = Play("abcdefgh")
