An assigner's part is as large as its part of the proxies, without a threshold

UNEVEN let a part grow only from 1.25 on. At fault: `part`, UNEVEN. Change: the part follows the proxies where that is more than an even one; the constant went. It hurts where proxies come and go one by one: each may move the part's edge by a line.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -29,7 +29,6 @@
 COLD_ALONE = 0.45  # of the fleet's work: with no warm task, cold ones that can do less would fall over
 LEAST_WEIGHT = 0.005  # of the average: less is left out, a line of weight 0 being no line
 COLD_CALM = 0.6  # least calm for a cold line: however light, it gets all that proxies keep from others
-UNEVEN = 1.25  # times an even part of the proxies from which an assigner orders more of the fleet
 POOLED = 4.0  # s of the channel: binding all who are joined may take as long, or tables are smaller
 LINES = 8  # least of a smaller table: with fewer, whoever holds a bad task calls little else
 BARE = 2  # warm lines: a table with fewer gets up to half of the strongest one's at once, others in time
@@ -466,7 +465,7 @@
     def part(self, now, ready):
         """Each orders a part where the whole takes the channel too long; with several tables none narrows."""
         it, even, size = self.terms, 1 / self.terms.assigners, len(self.behind) / self.terms.proxies
-        self.width = size = max(size if size > UNEVEN * even else even, self.width * (len(self.tables) > 1))
+        self.width = size = max(size, even, self.width * (len(self.tables) > 1))
         whole = it.proxies * even * (self.fleet + it.head_lines)
         if whole <= min(it.queue_limit, POOLED * it.channel_lines) or size >= 1:
             return ready
