--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -522,7 +522,7 @@
 
 
 def test_a_part_is_as_large_as_the_proxies_that_are_joined():
-    """Dealt by chance, an assigner with a fifth more proxies than an even part loaded its tasks a fifth more."""
+    """Dealt by chance, one with a fifth more proxies loaded the tasks of an even part a fifth more."""
     names = [f"t{n:02}" for n in range(36)]
     play = Play(names, 5, total=8, queue_limit=160.0, assigners=2)
     play.run(6)
