After a gap of the news proxies are bound once they are named anew, not before

Seen: at 18.690 "news_open gap=true", and in that very turn 44 lines of a new table and 69 binds; by 18.706 the new stream had named all 83 proxies, which made each a new, unbound one; from 18.720 to 20.886 two dozen replies of one to eight lines of that table, all without a fence and reckoned at 0 lines, then 69 binds again at 21.111. The relay had bound the 69, so each reply cost it about 480 lines that nobody reckoned with; the second bind was answered 11 s later (9.17 to 11.57 s). The lines at fault: heard_doubt left those it knew in `waiting`, emit bound them, heard_join forgot it again. Ruled out: refused orders (none in five logs), withdrawn tasks (none ordered), the price of a bind (answers fit 1 line, 1 a line and the head at one rate).

Change: in doubt, nobody behind the channel waits for a bind until the new stream names him; followers aside, whom no stream names, do.

A probe that was sent in a task's former life no longer speaks against the new one: what it met is of that life. A warm-up of 0 s divides nothing.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -220,6 +220,7 @@
         self.withdrawn = dict.fromkeys(self.withdrawn, False)
         for proxy in self.proxies.values():
             self.bind(proxy, False, None)
+        self.waiting = {k: p for k, p in self.waiting.items() if p.aside}  # the rest once they are named anew
 
     def new_table(self, number):  # what stands in it unordered: all is let in, tried again as the terms say
         return Table(number, {k: (1.0, self.terms.tries) for k in range(len(self.terms.routes))})
@@ -297,8 +298,8 @@
 
     def heard_probe(self, now, event):
         task = self.tasks.get(event.task)
-        if task is None or event.outcome in ("full", "other"):  # neither tells of its calls
-            return
+        if task is None or event.outcome in ("full", "other") or now - event.elapsed < task.ramp_from:
+            return  # it tells nothing of its calls, or of its former life
         ok = event.outcome == "ok"
         task.held = max(0.0, event.load.get("in_hand", task.held))
         task.good_probes = task.good_probes + 1 if ok else 0
@@ -482,7 +483,7 @@
 
     def ramp(self, now, task):
         age, start, fall = now - task.ramp_from, self.terms.start_share, self.terms.fall_multiple
-        bears = COLD_PART * (fall * (start + (1 - start) * min(age / task.ramp_for, 1)))
+        bears = COLD_PART * (fall * (start + (1 - start) * min(age / max(task.ramp_for, 1), 1)))
         return task.share * min(bears, 1.0) * (age >= COLD_WAIT * self.terms.report_period)
 
     def emit(self, now, orders):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -72,6 +72,19 @@
     play.matches("former_life")
 
 
+def test_a_probe_of_the_former_life_does_not_speak_against_the_new_one():
+    """It was on its way when the task went down, and ends after the list has told the restart."""
+    play = Play()
+    play.run(3)
+    play.hear(changes(line("b", started=2.9)))
+    play.hear(*[gp.ProbeAnswered("b", 5_000, "timeout", {})] * 3)
+    play.say(f"doubt {play.brain.tasks['b'].doubt:.2f}")
+    play.now += 6_000
+    play.hear(gp.ProbeAnswered("b", 5_000, "timeout", {}))
+    play.say(f"doubt {play.brain.tasks['b'].doubt:.2f}")
+    assert play.trace[-2:] == ["       -- doubt 0.00", "       -- doubt 3.22"]
+
+
 @pytest.mark.parametrize("told_by", ["sums", "probes", "busy_cores"])
 def test_cold_tasks_stay_out_while_there_is_no_calm(told_by):
     play = Play()
@@ -634,6 +647,21 @@
     play.matches("in_doubt")
 
 
+def test_after_a_gap_of_the_news_nobody_is_bound_before_the_new_stream_has_named_him():
+    """split+mass 5, 40 nodes: bound at once and, once named, taken for bound to nothing, 69 proxies got each
+    line of the new table without pace or reckoning, and then the whole of it again."""
+    play = Play(proxies=20)
+    play.run(3)
+    play.hear(gp.OrdersInDoubt())
+    play.say(f"reckoned to wait: {play.brain.queue:.0f} lines")
+    for named in (range(12), range(12, 20)):
+        play.hear(*(gp.ProxyJoined(p, 20.0, False, "z") for p in named))
+        play.say(f"reckoned to wait: {play.brain.queue:.0f} lines")
+    play.hear(changes(line("a", "draining")))
+    play.say(f"reckoned to wait: {play.brain.queue:.0f} lines")
+    play.matches("gap_named")
+
+
 def replace(play, old, new, seconds):
     """A new task under a new id, and soon after it the old one leaves."""
     play.hear(changes(line(new, started=play.now / 10_000)))
