Levels that let all in are rates where the settings make levels rates

Need: settings of another customer. With `specifics.level_kind` "per_second" a level is calls a second at each proxy; emit and new_table ordered 1.0, all of a share, as soon as the way of trying again changed: one call a second at each proxy from the first jam on, or from the start where the standing way of trying again is not "on proof". Seen by reading, confirmed by the test (a jam under each kind of level; it fails without the change). Ruled out: shares, where 1 or more is all, and "none", where levels are ignored. Change: OPEN, 1e6 calls a second, stands for all where levels are rates.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -51,6 +51,7 @@
 PILED = 3.0  # times the usual calls in hand: more than swings of traffic bring, and told before late sums
 JAMMED = 1.3  # times the pressure while answers come late: what waits has to be worked off too
 NO_TRIES = 0.1  # share of failures at the median task from which nothing is tried again
+OPEN = {"per_second": 1e6}  # a level that lets all in: calls a second at a proxy; else a share, 1
 LEAST = 0.05  # least level of a route: enough calls to keep hearing of it
 OUT_MOST = 0.3  # of all shares, while the rest answers: it must be able to carry the load
 ABSENT, LOST_MOST = "unreachable", 0.5  # nothing listens there; of the tasks: more is a fault of the network
@@ -65,7 +66,7 @@
 class Brain:
     def __init__(self, terms, seed):
         self.terms, self.probe_wait = terms, int(PROBE_WAIT * min(r.slo_time for r in terms.routes))
-        self.uniform = random.Random(seed).uniform
+        self.uniform, self.open = random.Random(seed).uniform, OPEN.get(terms.level_kind, 1.0)
         self.tasks, self.lines, self.left_at, self.proxies = {}, {}, {}, {}
         self.behind, self.calls, self.waiting = {}, 0.0, {}  # the channel; their calls; not surely bound
         self.tables, self.withdrawn = [self.new_table(1)], {}  # when what is shut out was, False in doubt
@@ -158,8 +159,7 @@
 
     def heard_leave(self, now, event):
         # Its lines vanish, later messages overtake: until the channel may have emptied, order proves nothing.
-        lost = self.drop(event.proxy)
-        if lost and lost.waits():
+        if (lost := self.drop(event.proxy)) and lost.waits():
             self.in_order_from = now + int(2 * SECOND * self.terms.queue_limit / self.terms.channel_lines)
             self.answered(now, lost, self.mark)
             self.queue = self.unanswered  # and it broke before that was heard: nor do the last answers
@@ -176,8 +176,7 @@
     def bind(self, proxy, bound, table):
         proxy.bind(bound, table)
         self.waiting.pop(proxy.id, None)
-        if not bound:
-            self.waiting[proxy.id] = proxy
+        self.waiting |= {} if bound else {proxy.id: proxy}
 
     def heard_applied(self, now, event):
         if event.proxy in self.behind:
@@ -223,7 +222,7 @@
         self.waiting = {k: p for k, p in self.waiting.items() if p.aside}  # the rest once they are named anew
 
     def new_table(self, number):  # what stands in it unordered: all is let in, tried again as the terms say
-        return Table(number, {k: (1.0, self.terms.tries) for k in range(len(self.terms.routes))})
+        return Table(number, {k: (self.open, self.terms.tries) for k in range(len(self.terms.routes))})
 
     def settle(self, now, proxy, upto):  # a push has taken effect once all but a tenth of calls go by it
         for what, wait in list(self.awaited.items()):
@@ -500,7 +499,7 @@
         # Tried again on proof only: nothing twice. Not while most tasks fail: that would feed a jam.
         self.cut = self.usual > (NO_TRIES / 2 if self.cut else NO_TRIES)
         tries = "none" if self.cut else "on proof"
-        levels = {k: (self.levels.get(k, 1.0), tries) for k in range(len(self.terms.routes))}
+        levels = {k: (self.levels.get(k, self.open), tries) for k in range(len(self.terms.routes))}
         start, self.least, reached, all_told, news, drains_wait = self.written, limit, [], True, False, False
         for table in sorted(self.tables, key=lambda t: t.pushed_at[2]):
             fit, changes = self.push(now, table, wanted[table], joining, orders)
@@ -512,7 +511,8 @@
                 orders.append(gp.Admit(table.number, routes, *level))
                 table.levelled = True
                 if told and not news:
-                    self.notes.append(f"routes {routes} are let in at {level[0]:.0%}, tried again {tries}")
+                    part = level[0] / self.open
+                    self.notes.append(f"routes {routes} are let in at {part:.0%}, tried again {tries}")
             table.admitted = levels if moved else table.admitted
             if fit or moved:
                 self.least = min(self.least, self.write(now, fit + len(moved), table.users.values()))
--- a/garnetpaddle/interface/orders.py
+++ b/garnetpaddle/interface/orders.py
@@ -34,7 +34,7 @@
 
     table: int
     routes: tuple[int, ...]
-    level: float
+    level: float  # by Terms.level_kind: a share, 1 letting all in, or calls a second at each proxy
     tries: str  # "none", "on proof" or "once"
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,5 +1,6 @@
 import math
 import random
+import re
 
 import pytest
 from helper import Play, changes, line
@@ -178,6 +179,18 @@
     play.matches("admission")
 
 
+def test_where_levels_are_rates_all_that_comes_is_let_in():
+    """A level of 1 is all of a share, and one call a second at each proxy where settings make it a rate."""
+    shown = {}
+    for kind in ("per_second", "fraction", "none"):
+        play = Play(level_kind=kind, tries="once")
+        play.sums = dict.fromkeys("abcd", (10, 5, 200))
+        play.run(6)
+        shown[kind] = [line[7:] for line in play.trace if "admit" in line]
+    rates = [re.findall(r"(\d\S*), tries (\w+)", line) for line in shown["per_second"]]
+    assert rates == [[("1e+06", "on")], [("1e+06", "none")]] and len(shown["none"]) == 2
+
+
 def test_admission_is_not_moved_by_one_bad_task():
     play = Play(level_kind="fraction")
     play.sums["a"], play.load = (20, 20, 0), {"busy": 0.75}
