A restarted task's old line goes like a drain, however busy the channel is

The line that a task had before its restart stands at its warm weight; its removal was a matter of health (urgency 1), which waits while more than 1.5 s of the channel wait. Change: take_line marks what stands of the former life (weight infinite), and push gives such a line the urgency of a drain.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -131,6 +131,8 @@
                 alike = [t.share for t in self.ready() if t.kind == line.kind and t.headroom]
                 share = statistics.fmean(alike) if alike else line.size / self.size
                 task = self.tasks[line.task] = Task(line, share, self.terms.warm_after)
+                for table in self.tables:  # the line of its former life goes like a drain, whatever its weight
+                    table.laid |= {line.task: math.inf} if line.task in table.laid else {}
                 if self.terms.probes_allowed:
                     self.later(now + int(self.uniform(0, PROBE_EVERY)), Brain.probe, task)
         self.left_at[line.task], self.lines[line.task] = now, line
@@ -228,8 +230,7 @@
         for what, wait in list(self.awaited.items()):
             wait.heard(proxy, upto)
             if wait.all_told and wait.calls <= 0.1 * self.calls:
-                self.effect[what] = now
-                del self.awaited[what]
+                self.effect[what], _ = now, self.awaited.pop(what)
 
     def heard_sums(self, now, event):
         if event.task in self.tasks and event.span <= now - self.since + self.terms.report_period:
@@ -552,15 +553,15 @@
         for k in laid:
             # A list that shrank to nothing: where being dropped does not bind, the last table stands.
             if k not in lines and (lines or self.terms.gone_binds or self.lines[k].state == "draining"):
-                task, ready = self.tasks[k], self.lines[k].state == "ready"
-                changes.append((ready * (1 if task.out or not task.warm(now) else 2), -laid[k], k, 0.0))
+                task, later = self.tasks[k], laid[k] < math.inf and self.lines[k].state == "ready"
+                changes.append((later * (1 if task.out or not task.warm(now) else 2), -laid[k], k, 0.0))
         for k, weight in lines.items():
             # Cold lines shrink soon and grow last: while warm ones are missing, they get more calls.
             old, warm = laid.get(k, 0.0), self.tasks[k].warm(now)
             if not old and (warm or bare):
                 changes.append((int(not bare), -weight, k, weight))
-            elif abs(weight - old) > MOVED * old:
-                urgency = 1 if weight < old and not warm else 2
+            elif old == math.inf or abs(weight - old) > MOVED * old:
+                urgency = (old < math.inf) * (1 if weight < old and not warm else 2)
                 changes.append((urgency, -abs(weight - old) * (warm or weight < old), k, weight))
         changes.sort()
         fit = self.fits(now, changes, table)
@@ -609,9 +610,8 @@
             upto = sum(c[0] <= urgency for c in changes)
             if upto <= fit or self.too_soon(now, urgency, table):
                 continue
-            if not users:
-                fit = upto
-            elif fit or self.queue <= START[urgency] * self.terms.channel_lines:
+            fit = fit if users else upto
+            if users and (fit or self.queue <= START[urgency] * self.terms.channel_lines):
                 most = MOST * self.terms.channel_lines if urgency else limit
                 room = int((min(ROOM[urgency] * limit, most) - self.queue) / users - head)
                 # Part of them only where lines outweigh heads: else the heads would fill the channel.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -86,6 +86,19 @@
     assert play.trace[-2:] == ["       -- doubt 0.00", "       -- doubt 3.22"]
 
 
+@pytest.mark.parametrize("told", [
+    [changes(line("b", started=2.9))],  # it restarted, and was never away
+    [changes(line("b", "draining"), line("b", started=2.9))],  # the leaving had not been applied yet
+])
+def test_the_line_of_a_former_life_goes_at_once_however_busy_the_channel_is(told):
+    """A cold task is not to bear what it bore when it was warm until there is room for matters of health."""
+    play = Play(proxies=200, channel_lines=1_000, queue_limit=40_000)
+    play.run(3)
+    play.brain.queue = play.brain.unanswered = 5_000
+    play.hear(*told)
+    assert play.trace[-1] == "  3.0  b=0" and not any(table.laid.get("b") for table in play.brain.tables)
+
+
 @pytest.mark.parametrize("told_by", ["sums", "probes", "busy_cores"])
 def test_cold_tasks_stay_out_while_there_is_no_calm(told_by):
     play = Play()
