--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -131,7 +131,7 @@
                 alike = [t.share for t in self.ready() if t.kind == line.kind and t.headroom]
                 share = statistics.fmean(alike) if alike else line.size / self.size
                 task = self.tasks[line.task] = Task(line, share, self.terms.warm_after)
-                for table in self.tables:  # the line of its former life goes like a drain, whatever its weight
+                for table in self.tables:  # the line of its former life goes as a drain, whatever its weight
                     table.laid |= {line.task: math.inf} if line.task in table.laid else {}
                 if self.terms.probes_allowed:
                     self.later(now + int(self.uniform(0, PROBE_EVERY)), Brain.probe, task)
