--- a/garnetpaddle/net/http.py
+++ b/garnetpaddle/net/http.py
@@ -63,8 +63,8 @@
     opening = asyncio.ensure_future(asyncio.open_connection(*address, limit=CHUNK))
     try:
         return Connection(*await within(wait, opening), address)
-    except (OSError, TimeoutError) as error:
-        return NotSent(f"connect: {reason(error)}", error.errno in SHORT)
+    except (OSError, TimeoutError, UnicodeError) as error:  # the last: a host that can be no name
+        return NotSent(f"connect: {reason(error)}", getattr(error, "errno", None) in SHORT)
     except asyncio.CancelledError:
         # It may have come up in the very turn in which nobody wants it any more: nobody else would close it.
         if opening.done() and not opening.cancelled() and not opening.exception():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -615,6 +615,12 @@
     assert asyncio.run(play()) == (True, True)
 
 
+def test_a_host_that_can_be_no_name_is_an_address_where_nobody_answers():
+    """A reload may bring one: raised, it ended the task that moves the calls."""
+    result = asyncio.run(client.dial(("a..b", 1), 60.0))
+    assert isinstance(result, client.NotSent) and result.why.startswith("connect: ") and not result.ours
+
+
 # --- probes
 
 
