--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -661,6 +661,7 @@
                 def descriptors():
                     return len(os.listdir(f"/proc/{program.made.pid}/fd"))
 
+                standing = descriptors()
                 strangers = [await asyncio.open_connection(*where.split(":")) for _ in range(100)]
                 for _, writer in strangers:
                     writer.write(b"telemetry sit")
@@ -670,16 +671,15 @@
                 writer.write(b"telemetry site=a\r\n")
                 await program.logged("event=collector_joined")
                 for party in (agent, relay):  # they are dialled anew amid the flood
-                    before = len(party.said)
+                    asked = len(party.said)
                     for each in party.writers:
                         each.transport.abort()
-                    await until(lambda party=party, before=before: len(party.said) > before)
+                    await until(lambda party=party, asked=asked: len(party.said) > asked)
                 assert descriptors() <= 64
                 for _, stranger in strangers:
                     stranger.transport.abort()
                 writer.transport.abort()
-                # The collector's own end is told; the relay's, the agent's and the loop's own stay.
-                await until(lambda: descriptors() <= 14)
+                await until(lambda: descriptors() <= standing)
                 program.signal(signal.SIGTERM)
                 return await program.end()
 
