Log what the list tells, binds, withdrawals, cold lines, probes and the belief on load

Change: net/decision_log.py observes each batch of the decision loop and logs state transitions under the existing rate limit, and a status line each 5 s; DecisionLoop has a list of observers in place of one callback.

--- /dev/null
+++ b/garnetpaddle/net/decision_log.py
@@ -0,0 +1,123 @@
+"""Log lines on what the Brain is told and what it orders: state transitions, not single calls or weights."""
+
+import structlog
+
+from garnetpaddle import interface as gp
+
+STATUS_PERIOD = 50_000  # tenths of a ms: 5 s between status lines
+TENTHS_OF_MS_PER_SECOND = 10_000
+log = structlog.get_logger()
+
+
+def seconds(tenths_of_ms):
+    """Seconds for the log."""
+    return round(tenths_of_ms / TENTHS_OF_MS_PER_SECOND, 2)
+
+
+class DecisionLog:
+    """Observes the batches of a decision loop.
+
+    brain: read for the status line only; warm_after: tenths of a ms from a start until a task is warm."""
+
+    def __init__(self, brain, warm_after):
+        self.brain, self.warm_after = brain, warm_after
+        self.started_at = {}  # task -> its start, until it is warm
+        self.failing_probes = {}  # task -> the outcome of its last probe, unless that was "ok"
+        self.next_status_at = 0
+
+    def observe(self, now, events, orders):
+        """Logs a batch: its events, then the orders given for them."""
+        self.log_list(now, events)
+        self.log_membership(events)
+        self.log_probes(events)
+        self.log_orders(now, orders)
+        if now >= self.next_status_at:
+            self.next_status_at = now + STATUS_PERIOD
+            self.forget_warm(now)
+            self.log_status()
+
+    def log_list(self, now, events):
+        """Logs each changed entry of the task list, and the size of a full list."""
+        for event in events:
+            if not isinstance(event, gp.TaskListReceived):
+                continue
+            if event.update_type != "changes":
+                log.info("list_heard", form=event.update_type, tasks=len(event.lines))
+            for line in event.lines:
+                self.note_start(now, line)
+                if event.update_type == "changes":
+                    self.log_entry(now, line)
+
+    def note_start(self, now, line):
+        """Remembers the start of a task that is still cold."""
+        if line.state == "ready" and line.started_at and now - line.started_at < self.warm_after:
+            self.started_at[line.task] = line.started_at
+        else:
+            self.started_at.pop(line.task, None)
+
+    def log_entry(self, now, line):
+        """Logs an entry; `age_s`: since the task's start, where the list tells of one."""
+        age = {"age_s": seconds(now - line.started_at)} if line.started_at else {}
+        log.info("task_listed", task=line.task, state=line.state, **age)
+
+    def log_membership(self, events):
+        """Logs how many proxies joined and left."""
+        joined = [event for event in events if isinstance(event, gp.ProxyJoined)]
+        left = sum(isinstance(event, gp.ProxyLeft) for event in events)
+        if joined:
+            held = sum(not event.has_only_default_table for event in joined)
+            log.info("proxies_joined", count=len(joined), with_tables=held)
+        if left:
+            log.info("proxies_left", count=left)
+
+    def log_probes(self, events):
+        """Logs each change of a task's probe outcome."""
+        for event in events:
+            if isinstance(event, gp.ProbeFinished) and event.outcome != "full":
+                self.log_probe(event)
+
+    def log_probe(self, event):
+        """Logs a probe's outcome if it differs from the last one; tasks begin as "ok"."""
+        former = self.failing_probes.pop(event.task, "ok")
+        if event.outcome != "ok":
+            self.failing_probes[event.task] = event.outcome
+        if event.outcome != former:
+            log.info("probe_changed", task=event.task, outcome=event.outcome, former=former)
+
+    def log_orders(self, now, orders):
+        """Logs withdrawals, the lines of cold tasks, and how many proxies were bound."""
+        bound = {}  # table -> number of proxies
+        for order in orders:
+            match order:
+                case gp.WithdrawTask(task=task, withdrawn=withdrawn):
+                    log.info("task_withdrawn" if withdrawn else "task_readmitted", task=task)
+                case gp.SetWeight(table=table, task=task, weight=weight) if task in self.started_at:
+                    age = seconds(now - self.started_at[task])
+                    log.info("cold_line", task=task, table=table, weight=weight, age_s=age)
+                case gp.BindProxy(table=table):
+                    bound[table] = bound.get(table, 0) + 1
+        for table, count in bound.items():
+            log.info("proxies_bound", table=table, count=count)
+
+    def forget_warm(self, now):
+        """Forgets the starts of tasks that are warm by now."""
+        self.started_at = {
+            task: started_at
+            for task, started_at in self.started_at.items()
+            if now - started_at < self.warm_after
+        }
+
+    def log_status(self):
+        """Logs what the Brain believes of the load, and the state of its channel."""
+        brain = self.brain
+        log.info(
+            "status",
+            health=round(brain.health(), 2),
+            failure_share=round(brain.usual_failure_share, 3),
+            failing_probes=round(brain.failing_probe_share(), 3),
+            ejected=sum(task.ejected for task in brain.own_tasks),
+            own_tasks=len(brain.own_tasks),
+            joined=len(brain.proxies),
+            unbound=len(brain.unbound_proxies),
+            queued_lines=round(brain.queue),
+        )
--- a/garnetpaddle/net/decision_loop.py
+++ b/garnetpaddle/net/decision_loop.py
@@ -32,12 +32,12 @@
     """Passes batches of events to the Brain and dispatches its orders.
 
     now: the clock; handlers: an object with submit(orders), probe(order) and watch(); quantum: seconds for
-    which events are collected into a batch; trace: print every event and order; on_batch: called with
+    which events are collected into a batch; trace: print every event and order. `observers` are called with
     (now, events, orders) after each batch."""
 
-    def __init__(self, brain, now, handlers, quantum=0.0, trace=False, on_batch=None):
+    def __init__(self, brain, now, handlers, quantum=0.0, trace=False):
         self.brain, self.now, self.handlers, self.quantum, self.trace = brain, now, handlers, quantum, trace
-        self.on_batch = on_batch
+        self.observers = []
         self.pending, self.wake, self.timers, self.serial = [], asyncio.Event(), [], 0
 
     def publish(self, event):
@@ -73,8 +73,8 @@
         if self.trace:
             print_trace(now, events, orders)
         self.dispatch(orders)
-        if self.on_batch:
-            self.on_batch(now, events, orders)
+        for observe in self.observers:
+            observe(now, events, orders)
 
     def dispatch(self, orders):
         """Executes each order or calls its handler; orders for the relay are submitted together, last."""
--- a/garnetpaddle/net/serve.py
+++ b/garnetpaddle/net/serve.py
@@ -14,6 +14,7 @@
 from garnetpaddle.net import log as log_output
 from garnetpaddle.net import message_codec as codec
 from garnetpaddle.net.configuration import parse_address
+from garnetpaddle.net.decision_log import DecisionLog
 from garnetpaddle.net.decision_loop import DecisionLoop, make_clock
 from garnetpaddle.net.event_subscription import EventSubscription
 from garnetpaddle.net.listener import Listener
@@ -70,7 +71,7 @@
     front_ends = FrontEnds(
         operator_configuration, settings, parameters, addresses, decision_loop.now, decision_loop.publish
     )
-    decision_loop.on_batch = front_ends.publish_snapshot
+    decision_loop.observers.append(front_ends.publish_snapshot)
     return front_ends
 
 
@@ -98,6 +99,8 @@
     if trace:
         print(f"trace 0 {parameters}", flush=True)
     decision_loop = DecisionLoop(Brain(parameters, seed), make_clock(), handlers, settings.quantum, trace)
+    decision_log = DecisionLog(decision_loop.brain, parameters.warm_after)
+    decision_loop.observers.append(decision_log.observe)
     relay_address, max_sockets = parse_address(config.store.address, "store.address"), config.limits.sockets
     order_sender = OrderSender(relay_address, list(known_names.routes), marks, decision_loop.publish)
     addresses.update(config.known)
