--- /dev/null
+++ b/benchmarks/faults/day.py
@@ -0,0 +1,192 @@
+"""Days of fault injection: a fleet, its load and its faults, drawn from a seed. No I/O; times in seconds."""
+
+import random
+from dataclasses import dataclass
+
+from garnetpaddle.rehearsal.script import Clients, Delays, Kind, Route
+
+ASSIGNERS = 3
+ZONES = ("north", "south", "west")
+DAY_LENGTH_S = 66.0
+INTAKE_LINES_PER_S = 150  # report lines that an assigner is given at most
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSpec:
+    """A task's machine."""
+
+    name: str
+    kind: Kind
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class TaskRestart:
+    """A task's process dies and starts again; meanwhile it refuses connections or, if silent, is mute."""
+
+    at: float
+    task: str
+    downtime: float
+    silent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TaskReplacement:
+    """A release: the task drains, its process ends, and the next one starts under the same id."""
+
+    at: float
+    task: str
+    drain_time: float
+    downtime: float
+
+
+@dataclass(frozen=True, slots=True)
+class AssignerRestart:
+    """An assigner gets a signal, SIGKILL or SIGTERM, and is started again."""
+
+    at: float
+    rank: int
+    signal: str
+    downtime: float
+
+
+@dataclass(frozen=True, slots=True)
+class TaskFault:
+    """A task fails a share of its calls (`errors`), or works several times slower (`slow`)."""
+
+    at: float
+    task: str
+    kind: str
+    amount: float
+    end: float
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBreak:
+    """The streams of some proxies break."""
+
+    at: float
+    share: float
+
+
+Fault = TaskRestart | TaskReplacement | AssignerRestart | TaskFault | StreamBreak
+
+
+@dataclass(frozen=True, slots=True)
+class ListDelays:
+    """How late discovery tells an assigner of a task, in seconds: the range of each delay."""
+
+    started: tuple[float, float] = (0.36, 1.8)
+    left: tuple[float, float] = (1.4, 4.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """A fleet, its load and the faults of one run."""
+
+    seed: int
+    nodes: tuple[NodeSpec, ...]
+    proxies: int
+    routes: tuple[Route, ...]
+    clients: Clients
+    delays: Delays
+    list_delays: ListDelays
+    told_start_share: float  # as the settings say: no task starts with less of its capacity
+    told_warm_after: float  # as the settings say: every task is warm by then
+    faults: tuple[Fault, ...]
+    length: float = DAY_LENGTH_S
+
+
+def draw_day(seed, utilization=None):
+    """A day of restarts, a release and bad tasks. utilization: the load as a share of all cores, or drawn."""
+    rng = random.Random(f"day {seed}")
+    kinds = draw_kinds(rng)
+    names = [f"s-{rng.getrandbits(32):08x}" for _ in range(30)]
+    nodes = tuple(
+        NodeSpec(name, rng.choices(kinds, (0.38, 0.35, 0.27))[0], ZONES[k % len(ZONES)])
+        for k, name in enumerate(names)
+    )
+    routes = (
+        Route("status", 0.45, rng.uniform(0.18, 0.24), 1.2, 4.0, 1.0, "repeatable", "exponential"),
+        Route("scan", 0.38, rng.uniform(0.18, 0.24), 1.5, 4.0, 2.0, "repeatable", "exponential"),
+        Route("charge", 0.17, rng.uniform(0.27, 0.37), 2.0, 5.0, 5.0, "mutating", "exponential"),
+    )
+    mean_work = sum(route.share * route.work for route in routes)
+    capacity = sum(node.kind.cores * node.kind.speed for node in nodes)
+    utilization = utilization or rng.uniform(0.45, 0.85)
+    return Day(
+        seed=seed,
+        nodes=nodes,
+        proxies=240,
+        routes=routes,
+        clients=Clients(
+            rate=utilization * capacity / mean_work,
+            curve=rng.choice(((1.0,), (0.8, 1.1), (0.9, 1.15, 0.9))),
+            again=rng.uniform(0.5, 1.0),
+            uneven=rng.uniform(2.0, 10.0),
+        ),
+        delays=Delays(
+            channel=rng.uniform(0.14, 0.44),
+            lines=rng.uniform(1_600, 2_200),
+            queue_limit=4_400.0,
+            reports=rng.uniform(0.63, 1.4),
+            strikes=8,
+            avoid=rng.uniform(4.1, 7.7),
+            redial=rng.uniform(0.4, 1.5),
+        ),
+        list_delays=ListDelays(),
+        told_start_share=0.23,
+        told_warm_after=15.0,
+        faults=draw_faults(rng, names),
+    )
+
+
+def draw_kinds(rng):
+    """Three machine types of unequal size, with their true ramp-up after a start."""
+    sizes = (
+        ("large", 4, rng.uniform(1.4, 1.8)),
+        ("small", 2, rng.uniform(0.85, 1.1)),
+        ("slow", 3, rng.uniform(0.51, 0.69)),
+    )
+    return tuple(
+        Kind(
+            name,
+            cores,
+            speed,
+            queue=int(cores * rng.uniform(5, 20)),
+            accept=400,
+            handshake=rng.uniform(0.008, 0.015),
+            warm_after=rng.uniform(8.5, 15.0),
+            start_share=rng.uniform(0.23, 0.42),
+        )
+        for name, cores, speed in sizes
+    )
+
+
+def draw_faults(rng, names):
+    """The faults of a day, in order of their time."""
+    faults = []
+    order = rng.sample(names, len(names))
+    released, others = order[:18], order[18:]
+    wave_sizes = (5, 3, 3, 4, 3)
+    wave_starts = (3.0, 12.9, 21.5, 31.0, 40.0)
+    for size, start in zip(wave_sizes, wave_starts, strict=True):
+        for task in [released.pop() for _ in range(size)]:
+            at = start + rng.uniform(0.0, 2.2)
+            faults.append(TaskReplacement(at, task, rng.uniform(5.0, 8.5), rng.uniform(0.2, 1.0)))
+    for start in (8.5, 19.5, 25.0, 36.0, 48.0):
+        silent = rng.random() < 0.3
+        for task in rng.sample(others, 3):
+            at = start + rng.uniform(0.0, 0.7)
+            faults.append(TaskRestart(at, task, rng.uniform(0.3, 4.0), silent))
+    for task in rng.sample(names, 4):
+        at = rng.uniform(2.0, 40.0)
+        kind = rng.choice(("errors", "slow"))
+        amount = rng.uniform(0.3, 1.0) if kind == "errors" else rng.uniform(2.5, 8.0)
+        faults.append(TaskFault(at, task, kind, amount, at + rng.uniform(10.0, 29.0)))
+    rank = rng.randrange(ASSIGNERS)
+    faults.append(AssignerRestart(rng.uniform(24.0, 28.0), rank, "SIGKILL", 0.5))
+    faults.append(AssignerRestart(rng.uniform(49.0, 52.0), rank, "SIGTERM", 0.5))
+    if rng.random() < 0.5:
+        faults.append(StreamBreak(rng.uniform(10.0, 45.0), rng.uniform(0.3, 0.9)))
+    return tuple(sorted(faults, key=lambda fault: fault.at))
--- /dev/null
+++ b/benchmarks/faults/judge.py
@@ -0,0 +1,157 @@
+"""The judge of the rules over all proxies, whichever assigner wrote the lines that they follow.
+
+The rules are those of the protocol page: limits in time are SOCKET_SLACK longer than in the settings, and
+start no sooner than START_SLACK after an assigner's first answer.
+"""
+
+import collections
+from dataclasses import dataclass
+
+from garnetpaddle.rehearsal.model import Node, tenths_of_ms
+
+SOCKET_SLACK = tenths_of_ms(0.3)
+START_SLACK = tenths_of_ms(1.0)
+KNOWING_SHARE = 2 / 3  # of the work that pushed a cold task over: from here on the rule is broken
+TENTHS_OF_MS_PER_SECOND = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken rule."""
+
+    rule: str  # "cold", "drain", "no task", "twice" or "queue"
+    at: int
+    who: str
+    why: str
+
+    def __str__(self):
+        return f"{self.at / TENTHS_OF_MS_PER_SECOND:7.3f} {self.rule}: {self.who}: {self.why}"
+
+
+class JudgedNode(Node):
+    """A node that tells the judge who sends it work while it is cold."""
+
+    def submit(self, call, proxy, on_done):
+        self.sender = proxy
+        return super().submit(call, proxy, on_done)
+
+    def overload_while_cold(self, work):
+        """Crashes a cold node, and returns True, if the judge finds that it received more than it bears."""
+        if not self.rules.record_cold_work(self, self.sender, work):
+            return False
+        self.failed_cold = True
+        self.stop()
+        return True
+
+    def start(self):
+        self.recent_cold_work.clear()
+        super().start()
+
+
+class Judge:
+    """Checks the rules during a run.
+
+    assigners: the links to them, by rank; each says when its present life heard of a task's state and start.
+    """
+
+    def __init__(self, scheduler, delays, assigners):
+        self.scheduler, self.delays, self.assigners = scheduler, delays, assigners
+        self.cold_window = tenths_of_ms(delays.tip_after)
+        self.cold_grace = tenths_of_ms(delays.grace) + SOCKET_SLACK
+        self.drain_grace = tenths_of_ms(delays.grace) + SOCKET_SLACK
+        self.bare_limit = tenths_of_ms(delays.bare) + SOCKET_SLACK
+        self.violations = []
+        self.unwarned_falls = []  # (time, node) of cold nodes that fell under proxies that could not know
+        self.peak_budget_use = 0.0  # most of a cold node's budget that knowing proxies ever used
+        self.bare_since = {}
+        self.proxies = {}
+
+    def add(self, rule, who, why):
+        """Records a broken rule, once for each rule and component."""
+        if not any(v.rule == rule and v.who == who for v in self.violations):
+            self.violations.append(Violation(rule, self.scheduler.now, who, why))
+
+    # Cold tasks
+
+    def record_cold_work(self, node, number, work):
+        """Adds work sent to a cold node; returns whether it falls."""
+        now = self.scheduler.now
+        received = node.recent_cold_work
+        received.append((now, work, number, self.knows(self.proxies[number], node)))
+        while received[0][0] <= now - self.cold_window:
+            received.popleft()
+        capacity = node.kind.cores * node.kind.speed * node.speed_fraction()
+        budget = self.delays.fall_multiple * capacity * self.delays.tip_after
+        total = sum(entry[1] for entry in received)
+        knowing = sum(entry[1] for entry in received if entry[3])
+        if knowing >= KNOWING_SHARE * total:
+            self.peak_budget_use = max(self.peak_budget_use, total / budget)
+        if total <= budget:
+            return False
+        age = (now - node.started_at) / TENTHS_OF_MS_PER_SECOND
+        if knowing >= KNOWING_SHARE * total:
+            self.add("cold", node.name, self.describe_cold_load(node, received, age, total / budget))
+        else:
+            self.unwarned_falls.append((now, node.name))
+        return True
+
+    def describe_cold_load(self, node, received, age, budget_use):
+        """Who sent how much, by assigner and by whether the proxy follows one of its tables."""
+        work_by_sender = collections.Counter()
+        for _, work, number, _ in received:
+            proxy = self.proxies[number]
+            link = proxy.link
+            bound = link is not None and number in link.channel.table_by_proxy
+            work_by_sender[f"n{link.rank + 1} {'bound' if bound else 'held table'}" if link else "none"] += (
+                work
+            )
+        parts = ", ".join(f"{name} {work:.2f}" for name, work in sorted(work_by_sender.items()))
+        return f"{age:.1f} s old, {budget_use:.2f} of what it bears ({parts})"
+
+    def knows(self, proxy, node):
+        """Whether load of this proxy counts as sent with knowledge of the node's start."""
+        link = proxy.link
+        heard_at = link.start_heard_at(node.name, node.started_at) if link else None
+        if heard_at is None:
+            return False
+        if proxy.last_message_sent_at is not None and proxy.last_message_sent_at >= heard_at:
+            return True
+        return self.scheduler.now - max(heard_at, link.answered_at + START_SLACK) >= self.cold_grace
+
+    # Drains, and calls begun twice
+
+    def record_send(self, proxy, name):
+        """A proxy sends a call to a node, which must be ready or within the grace time."""
+        link = proxy.link
+        drained_at = link.drained_at(name) if link else None
+        if drained_at is None:
+            return
+        since = max(drained_at, proxy.joined_at, link.answered_at + START_SLACK)
+        late = self.scheduler.now - since - self.drain_grace
+        if late > 0:
+            self.add(
+                "drain", name, f"proxy {proxy.number} sent {late / TENTHS_OF_MS_PER_SECOND:.2f} s too late"
+            )
+
+    def record_execution(self, call, name):
+        """A node begins a call's work: at most once per try of the client if the call is mutating."""
+        count = call.executions[call.try_started_at] = call.executions.get(call.try_started_at, 0) + 1
+        if count > 1 and call.mutating:
+            self.add("twice", name, f"call {call.number} was begun {count} times for one try of its client")
+
+    # Proxies without a task, and the queues
+
+    def check(self, warm_ready_at):
+        """Checks what is checked periodically. warm_ready_at: whether an assigner lists a warm ready task."""
+        now = self.scheduler.now
+        for number, proxy in self.proxies.items():
+            if proxy.link is None or proxy.has_usable_line() or not warm_ready_at(proxy.link):
+                self.bare_since.pop(number, None)
+                continue
+            since = self.bare_since.setdefault(number, now)
+            if now - max(since, proxy.link.answered_at + START_SLACK) > self.bare_limit:
+                self.add("no task", f"proxy {number}", "it had nobody to send to for too long")
+        for link in self.assigners:
+            queued = link.channel.queued_lines()
+            if queued > self.delays.queue_limit:
+                self.add("queue", f"n{link.rank + 1}", f"{queued:.0f} lines wait")
--- /dev/null
+++ b/benchmarks/faults/peer_servers.py
@@ -0,0 +1,143 @@
+"""The peers' sides of the wires: an assigner's relay and discovery agent, and the ports of the tasks."""
+
+import asyncio
+import re
+import socket
+
+from benchmarks.scaling import http_server
+from benchmarks.scaling.traffic import LinkCounter
+
+QUERY_PARAMETER = re.compile(r"(\w+)=(\d+)")
+EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def format_event(kind, fields):
+    """An event of the relay's stream."""
+    return f"event: {kind}\ndata: {fields}\n\n".encode()
+
+
+class RelayProtocol(http_server.RequestProtocol):
+    """One connection to the relay: calls, or an event stream. link: the ProcessLink of the assigner."""
+
+    def __init__(self, counter, link):
+        super().__init__(counter)
+        self.link = link
+
+    def request(self, method, target, body):
+        if target == "/v1/events":
+            self.transport.write(EVENTS_HEAD)
+            self.link.add_stream(self.transport)
+            return
+        taken = self.link.apply_orders(body)
+        answer = f"<Response><entries><item><taken>{taken}</taken></item></entries></Response>"
+        self.answer(b'<?xml version="1.0"?>' + answer.encode(), "text/xml")
+
+    def connection_lost(self, error):
+        if self.transport in self.link.streams:
+            self.link.streams.remove(self.transport)
+
+
+class AgentProtocol(http_server.RequestProtocol):
+    """One connection to the discovery agent."""
+
+    def __init__(self, counter, link):
+        super().__init__(counter)
+        self.link, self.timer = link, None
+
+    def request(self, method, target, body):
+        query = {word: int(number) for word, number in QUERY_PARAMETER.findall(target)}
+        since = query.get("since")
+        if since is None or since < self.link.generation:
+            return self.answer(self.link.list_body(since))
+        timeout = query.get("timeout_ms", 0) / 1_000
+        self.timer = asyncio.get_running_loop().call_later(timeout, self.answer_watch, since)
+        self.link.watches.append(lambda: self.answer_watch(since))
+
+    def answer_watch(self, since):
+        """Answers a watch once: at a change, or at its timeout."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+            self.answer(self.link.list_body(since))
+
+
+class TaskProtocol(http_server.RequestProtocol):
+    """One connection to a task: answers probes as its node's faults let it."""
+
+    def __init__(self, counter, node):
+        super().__init__(counter)
+        self.node = node
+
+    def request(self, method, target, body):
+        node = self.node
+        if node.silent or node.paused:
+            return
+        if node.errors and node.random.random() < max(node.errors.values()):
+            self.answer(b"", "text/plain", "503 Service Unavailable")
+        else:
+            self.answer(b"TEXT", "text/plain")
+
+
+class TaskPort:
+    """A task's port, which listens while the task's process is up."""
+
+    def __init__(self, node):
+        self.node, self.server, self.transports = node, None, []
+        self.counter = LinkCounter()
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.port = probe.getsockname()[1]
+        self.opening = None
+
+    def make_protocol(self):
+        protocol = TaskProtocol(self.counter, self.node)
+        self.transports.append(protocol)
+        return protocol
+
+    async def open(self):
+        """Listens."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self.make_protocol, "127.0.0.1", self.port, backlog=http_server.BACKLOG
+        )
+        self.opening = None
+
+    def update(self):
+        """Opens or closes the port as the node's process starts or ends."""
+        if self.node.up and self.server is None and self.opening is None:
+            self.opening = asyncio.get_running_loop().create_task(self.open())
+        if not self.node.up and self.server is not None:
+            self.close()
+
+    def close(self):
+        """Stops listening and resets all connections, as when the process ends."""
+        if self.server:
+            self.server.close()
+            self.server = None
+        for protocol in self.transports:
+            if protocol.transport:
+                protocol.transport.abort()
+        self.transports = []
+
+
+class TaskPorts:
+    """The ports of all tasks."""
+
+    def __init__(self, nodes):
+        self.by_name = {name: TaskPort(node) for name, node in nodes.items()}
+        self.ports = {name: port.port for name, port in self.by_name.items()}
+
+    async def open(self):
+        """Opens all ports."""
+        for port in self.by_name.values():
+            await port.open()
+
+    def update(self):
+        """Follows the nodes' processes."""
+        for port in self.by_name.values():
+            port.update()
+
+    def close(self):
+        """Closes all ports."""
+        for port in self.by_name.values():
+            port.close()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -148,6 +148,41 @@
     harness.assert_trace_matches("cold_line_removed")
 
 
+def test_a_cold_task_is_not_pushed_over_where_warm_ones_of_its_kind_turn_calls_away():
+    """Its line was a share of all calls, though warm tasks of its kind answered only a quarter of theirs."""
+    harness = BrainHarness(tasks="", acknowledges=False)
+    kinds = {"large": "abcd", "small": "efgh"}
+    lines = [task_line(task, kind=kind) for kind, tasks in kinds.items() for task in tasks]
+    harness.handle(list_changes(*lines))
+    harness.reported_sums = dict.fromkeys("abcd", (40, 0, 200)) | dict.fromkeys("efgh", (40, 30, 900))
+    harness.advance(4)
+    harness.handle(list_changes(task_line("x", started=4, kind="small")))
+    tries_a_second, answers_of_a_small_task = 8 * 40, 10
+    parameters, weights_seen = harness.parameters, []
+    for age in range(1, 12):
+        harness.advance(1)
+        weights = table_weights(harness.brain)
+        calls = tries_a_second * weights.get("x", 0.0) / sum(weights.values())
+        ramp = age * 10_000 / parameters.warm_after
+        capacity = answers_of_a_small_task * (parameters.start_share + (1 - parameters.start_share) * ramp)
+        weights_seen.append(weights.get("x", 0.0))
+        assert calls <= parameters.fall_multiple * capacity, f"{age} s old"
+    assert any(weights_seen)
+
+
+def test_a_new_life_gives_no_cold_task_a_line_before_it_knows_what_warm_ones_answer():
+    """It took all to be well and gave cold tasks twice the line that the other assigners gave them."""
+    harness = BrainHarness(proxies=0)
+    harness.reported_sums = {}
+    harness.handle(list_changes(task_line("e", started=0.1)))
+    harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)))
+    harness.advance(6)
+    assert not any("e=" in entry for entry in harness.trace)
+    harness.reported_sums = dict.fromkeys("abcd", (10, 0, 200))
+    harness.advance(2)
+    assert any("e=" in entry for entry in harness.trace)
+
+
 def test_cold_tasks_alone_get_lines_once_they_can_carry_the_load():
     harness = BrainHarness()
     harness.advance(1)
