Bound a cold task's line by what warm tasks of its kind answer

Cause: Brain.table_lines dealt a cold task a share of the calls, 0.6 of the rule's multiple of its age's capacity times its share. That holds while a warm task answers its calls. In an overload calls are tried again and warm tasks of a weak kind answer a fraction of them, shares measured in the jam tell nothing, and a restarted assigner has shares of 1 and takes all to be well. Change: CallRates keeps the tries and answers a second that reports tell by task and zone; a cold line is at most what its age can take of the answers of a warm task of its kind, as a share of all tries; a life without reports deals none while a warm task stands. Why it works: answers are a lower bound of capacity, and the sum over assigners of what each one's proxies get answered is what the task answers.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,6 +21,7 @@
 import statistics
 
 from garnetpaddle import interface as gp
+from garnetpaddle.call_rates import CallRates
 from garnetpaddle.state import Proxy, PushAcknowledgements, Table, Task
 from garnetpaddle.task_registry import TaskRegistry
 
@@ -155,6 +156,9 @@
         self.withdrawn = {}  # task -> when its withdrawal was ordered, False where that order is in doubt
         self.log_messages = []
         self.pending_reports = []
+        self.call_rates = CallRates(SMOOTHING_FACTOR)
+        # kind -> what a warm task of this kind answers, as a share of all tries that are reported here
+        self.answer_shares = {}
         # (task, zone) -> the estimated end of the time that its last reports covered; see record_covered_time
         self.counted_until = {}
         self.timers = [(0, 0, Brain.subscribe, None)] * (parameters.list_mode == "ask")
@@ -273,6 +277,7 @@
             else:
                 share = statistics.fmean(shares.get(entry.kind) or [entry.size / self.mean_size])
                 self.registry.register(Task(entry, share, self.parameters.warm_after))
+                self.call_rates.forget_task(entry.task)
                 for table in self.tables:  # the old line of a restarted task goes as urgently as in a drain
                     table.weights |= {entry.task: math.inf} if entry.task in table.weights else {}
         self.registry.update_line(now, entry)
@@ -460,6 +465,7 @@
                 a + b for a, b in zip(sums_by_task.get(event.task, (0, 0, 0.0)), sums, strict=True)
             ]
             task.update_load(event.load)
+            self.call_rates.record(now, event)
             if 0 < self.effective_at["weights"] <= until - event.span:
                 task.add_calls(*sums)
             if 0 < self.effective_at["levels"] <= until - event.span / 2:
@@ -477,6 +483,7 @@
             self.usual_in_flight *= 1 + SMOOTHING_FACTOR * (
                 max(self.backlog() * BACKLOG_RATIO, 1 / self.usual_in_flight) - 1
             )
+        self.update_answer_shares(now)
         if level_sums[0] and self.parameters.level_kind == "fraction":
             self.update_levels(*level_sums)
         tasks = [t for t in self.own_tasks if not t.ejected]
@@ -487,6 +494,24 @@
         ):
             self.update_shares(tasks)
 
+    def update_answer_shares(self, now):
+        """Updates what a warm task of each kind answers, from the rates that are still valid.
+
+        Warm tasks without a rate, as soon after a start, are taken to get as many tries as the others."""
+        rates = self.call_rates
+        rates.forget_until(now - REPORT_VALID_ROUNDS * self.report_round)
+        warm = [task for task in self.own_tasks if task.warm(now) and not task.ejected]
+        reported = {task: rate for task in warm if (rate := rates.rate(task.id))}
+        self.answer_shares = {}
+        if not reported:
+            return
+        mean_tries = statistics.fmean(rate.tries for rate in reported.values())
+        total = rates.total_tries() + mean_tries * (len(warm) - len(reported))
+        answers = {}  # kind -> answers per second of its tasks
+        for task, rate in reported.items():
+            answers.setdefault(task.kind, []).append(rate.answers)
+        self.answer_shares = {kind: statistics.median(values) / total for kind, values in answers.items()}
+
     def update_statistics(self, now, name, tries, failures, latency_sum):
         """Updates a task's statistics; returns whether its answers count as evidence for or against a fault.
 
@@ -774,6 +799,7 @@
                 now,
                 tasks,
                 max(table.call_rate / task_calls, calls_per_ready_task * len(tasks)),
+                max(table.call_rate / max(self.call_rate, 0.1), 1 / len(self.tables)),
                 health,
                 proportional_health,
             )
@@ -827,12 +853,13 @@
                 }
         return assigned
 
-    def table_lines(self, now, assigned, table_calls, cold_factor, proportional_health):
+    def table_lines(self, now, assigned, table_calls, table_share, cold_factor, proportional_health):
         """A table's lines: task -> weight.
 
-        A cold task gets as much of an even share as it can take. While many tasks fail it gets none, as all
-        calls that proxies keep from the others would go to it. table_calls: the table's calls in units of an
-        average task's; cold_factor: the health, from which the factor on cold tasks' weights follows.
+        A cold task gets as much of an even share as it can take, and no more than it can take of what a warm
+        one of its kind answers. While many tasks fail it gets none, as all calls that proxies keep from the
+        others would go to it. table_calls: the table's calls in units of an average task's; table_share: its
+        share of all calls; cold_factor: the health, from which the factor on cold tasks' weights follows.
         """
         tasks = [t for t in assigned if not t.ejected]
         if not any(t.warm(now) for t in tasks):  # a failing task is better than none: keep the least suspect
@@ -856,7 +883,11 @@
         )
         # task -> its share of the table's calls
         cold = {
-            t.id: cold_factor * t.share * min(capacity_ratio, 1.0) / table_calls
+            t.id: cold_factor
+            * min(
+                t.share * min(capacity_ratio, 1.0) / table_calls,
+                capacity_ratio * self.answer_share(t) / table_share if warm else math.inf,
+            )
             for t, capacity_ratio in capacity.items()
             if enough
         }
@@ -919,6 +950,12 @@
             or self.parameters.failures_before_avoidance / max(calls, 0.001) > SLOW_AVOIDANCE_S
         )
 
+    def answer_share(self, task):
+        """What a warm task of the same kind answers, as a share of all tries; of the weakest kind if none of
+        this one is known, and 0 as long as nothing is known."""
+        weakest = min(self.answer_shares.values(), default=0.0)
+        return self.answer_shares.get(task.kind, weakest)
+
     def cold_capacity(self, now, task):
         """The ratio of an even share that a cold task may get by its age."""
         age = now - task.ramp_from
