--- a/benchmarks/faults/day.py
+++ b/benchmarks/faults/day.py
@@ -5,7 +5,8 @@
 
 from garnetpaddle.rehearsal.script import Clients, Delays, Kind, Route
 
-ASSIGNERS = 3
+DEFAULT_ASSIGNERS = 3
+PROXIES_PER_ASSIGNER = 80
 ZONES = ("north", "south", "west")
 DAY_LENGTH_S = 66.0
 INTAKE_LINES_PER_S = 150  # report lines that an assigner is given at most
@@ -86,6 +87,7 @@
 
     seed: int
     nodes: tuple[NodeSpec, ...]
+    assigners: int
     proxies: int
     routes: tuple[Route, ...]
     clients: Clients
@@ -97,8 +99,12 @@
     length: float = DAY_LENGTH_S
 
 
-def draw_day(seed, utilization=None):
-    """A day of restarts, a release and bad tasks. utilization: the load as a share of all cores, or drawn."""
+def draw_day(seed, utilization=None, assigners=DEFAULT_ASSIGNERS, tasks_restart_with_assigner=False):
+    """A day of restarts, a release and bad tasks.
+
+    utilization: the load as a share of all cores; drawn if None. tasks_restart_with_assigner: some tasks also
+    restart while an assigner is down, so that its next life hears of them with proxies that hold old tables.
+    """
     rng = random.Random(f"day {seed}")
     kinds = draw_kinds(rng)
     names = [f"s-{rng.getrandbits(32):08x}" for _ in range(30)]
@@ -117,7 +123,8 @@
     return Day(
         seed=seed,
         nodes=nodes,
-        proxies=240,
+        assigners=assigners,
+        proxies=PROXIES_PER_ASSIGNER * assigners,
         routes=routes,
         clients=Clients(
             rate=utilization * capacity / mean_work,
@@ -137,7 +144,7 @@
         list_delays=ListDelays(),
         told_start_share=0.23,
         told_warm_after=15.0,
-        faults=draw_faults(rng, names),
+        faults=draw_faults(rng, names, assigners, tasks_restart_with_assigner),
     )
 
 
@@ -163,7 +170,7 @@
     )
 
 
-def draw_faults(rng, names):
+def draw_faults(rng, names, assigners, tasks_restart_with_assigner):
     """The faults of a day, in order of their time."""
     faults = []
     order = rng.sample(names, len(names))
@@ -184,9 +191,16 @@
         kind = rng.choice(("errors", "slow"))
         amount = rng.uniform(0.3, 1.0) if kind == "errors" else rng.uniform(2.5, 8.0)
         faults.append(TaskFault(at, task, kind, amount, at + rng.uniform(10.0, 29.0)))
-    rank = rng.randrange(ASSIGNERS)
+    rank = rng.randrange(assigners)
     faults.append(AssignerRestart(rng.uniform(24.0, 28.0), rank, "SIGKILL", 0.5))
     faults.append(AssignerRestart(rng.uniform(49.0, 52.0), rank, "SIGTERM", 0.5))
     if rng.random() < 0.5:
         faults.append(StreamBreak(rng.uniform(10.0, 45.0), rng.uniform(0.3, 0.9)))
+    if tasks_restart_with_assigner:
+        restarts = [fault for fault in faults if isinstance(fault, AssignerRestart)]
+        for restart in restarts:
+            faults += [
+                TaskRestart(restart.at - rng.uniform(0.0, 1.0), task, rng.uniform(0.2, 1.0), False)
+                for task in rng.sample(others, 4)
+            ]
     return tuple(sorted(faults, key=lambda fault: fault.at))
--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -10,8 +10,10 @@
 
 from benchmarks.faults import day as days
 from benchmarks.faults.judge import Judge, JudgedNode
+from garnetpaddle import interface as gp
 from garnetpaddle.rehearsal.load_generator import LoadGenerator
 from garnetpaddle.rehearsal.model import Channel, Proxy, Scheduler, tenths_of_ms
+from garnetpaddle.rehearsal.model.channel import Message, SetWithdrawn
 from garnetpaddle.rehearsal.result import Result
 
 TENTHS_OF_MS_PER_SECOND = 10_000
@@ -81,6 +83,20 @@
     def queued_lines(self):
         return self.waiting_lines
 
+    def apply(self, order, messages):
+        """As in Channel, but a withdrawal is a line only at proxies that hold one of the task."""
+        if not isinstance(order, gp.WithdrawTask):
+            super().apply(order, messages)
+            return
+        self.withdrawn.pop(order.task, None)
+        self.withdrawn |= {order.task: True} if order.withdrawn else {}
+        for number, proxy in self.proxies.items():
+            bound = number in self.table_by_proxy
+            lines = self.tables.get(self.table_by_proxy[number], {}) if bound else proxy.lines.weights
+            if order.task in lines:
+                change = SetWithdrawn(order.task, order.withdrawn)
+                messages.setdefault(number, Message()).add(1, change)
+
     def enqueue(self, number, lines, changes, mark):
         self.lines += lines
         self.waiting_lines += lines
@@ -233,7 +249,7 @@
         self.random = random.Random(f"fleet {day.seed}")
         self.result = Result("faults", day.seed, "brain")
         self.log = []
-        self.links = [make_link(self, rank) for rank in range(days.ASSIGNERS)]
+        self.links = [make_link(self, rank) for rank in range(day.assigners)]
         self.judge = Judge(self.scheduler, day.delays, self.links)
         self.length = tenths_of_ms(day.length)
         self.nodes = {
--- a/benchmarks/faults/peer_servers.py
+++ b/benchmarks/faults/peer_servers.py
@@ -1,16 +1,23 @@
 """The peers' sides of the wires: an assigner's relay and discovery agent, and the ports of the tasks."""
 
 import asyncio
+import os
 import re
-import socket
 
 from benchmarks.scaling import http_server
 from benchmarks.scaling.traffic import LinkCounter
 
 QUERY_PARAMETER = re.compile(r"(\w+)=(\d+)")
+TASK_PORT = 7_000  # below the ports that the kernel gives to outgoing connections
 EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+def loopback_host(number):
+    """A loopback address for a task of this run: each process that plays a day has some of its own."""
+    process = os.getpid()
+    return f"127.{1 + process // 250 % 250}.{1 + process % 250}.{1 + number}"
+
+
 def format_event(kind, fields):
     """An event of the relay's stream."""
     return f"event: {kind}\ndata: {fields}\n\n".encode()
@@ -81,13 +88,9 @@
 class TaskPort:
     """A task's port, which listens while the task's process is up."""
 
-    def __init__(self, node):
-        self.node, self.server, self.transports = node, None, []
-        self.counter = LinkCounter()
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.port = probe.getsockname()[1]
-        self.opening = None
+    def __init__(self, node, host):
+        self.node, self.host, self.server, self.transports = node, host, None, []
+        self.counter, self.opening = LinkCounter(), None
 
     def make_protocol(self):
         protocol = TaskProtocol(self.counter, self.node)
@@ -98,7 +101,7 @@
         """Listens."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            self.make_protocol, "127.0.0.1", self.port, backlog=http_server.BACKLOG
+            self.make_protocol, self.host, TASK_PORT, backlog=http_server.BACKLOG
         )
         self.opening = None
 
@@ -124,8 +127,10 @@
     """The ports of all tasks."""
 
     def __init__(self, nodes):
-        self.by_name = {name: TaskPort(node) for name, node in nodes.items()}
-        self.ports = {name: port.port for name, port in self.by_name.items()}
+        self.by_name = {
+            name: TaskPort(node, loopback_host(number)) for number, (name, node) in enumerate(nodes.items())
+        }
+        self.addresses = {name: f"{port.host}:{TASK_PORT}" for name, port in self.by_name.items()}
 
     async def open(self):
         """Opens all ports."""
--- a/benchmarks/faults/process_link.py
+++ b/benchmarks/faults/process_link.py
@@ -178,7 +178,7 @@
         spec = self.fleet.nodes[entry.name]
         return {
             "instanceId": entry.name,
-            "hostPort": f"127.0.0.1:{self.environment.task_ports.ports[entry.name]}",
+            "hostPort": self.environment.task_ports.addresses[entry.name],
             "zone": spec.zone,
             "machineType": spec.kind.name,
             "cell": 0,
--- a/benchmarks/faults/settings.py
+++ b/benchmarks/faults/settings.py
@@ -14,7 +14,7 @@
     return {
         "azs": list(days.ZONES),
         "my_zone": days.ZONES[rank % len(days.ZONES)],
-        "balancers": days.ASSIGNERS,
+        "balancers": day.assigners,
         "rank": rank,
         "discovery": "push",
         "quantum": 0.005,
