Shrink or remove cold lines before ejected tasks' lines where not all changes fit

Cause: push_lines sorted urgency 1 by the size of the change, so removals of warm lines took the room of each push and the cold line, whose shrinking is what answers those removals, waited. Change: cold lines that shrink or go are first within their urgency. Why it works: a warm line never leaves a table of that urgency before the cold ones have been cut to what is left. Both cases of the test failed before.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -1098,9 +1098,9 @@
             ):
                 task = self.tasks[name]
                 deferrable = weights[name] < math.inf and self.lines[name].state == "ready"
-                changes.append(
-                    (deferrable * (1 if task.ejected or not task.warm(now) else 2), -weights[name], name, 0.0)
-                )
+                cold = not task.warm(now)
+                urgency = deferrable * (1 if task.ejected or cold else 2)
+                changes.append((urgency, -math.inf if cold else -weights[name], name, 0.0))
         for name, weight in lines.items():
             # Cold lines shrink early and grow last: while warm ones are missing, they get more calls.
             old_weight = weights.get(name, 0.0)
@@ -1108,10 +1108,10 @@
             if not old_weight and (warm or no_line_remains):
                 changes.append((int(not no_line_remains), -weight, name, weight))
             elif old_weight == math.inf or abs(weight - old_weight) > MIN_WEIGHT_CHANGE_RATIO * old_weight:
-                urgency = (old_weight < math.inf) * (1 if weight < old_weight and not warm else 2)
-                changes.append(
-                    (urgency, -abs(weight - old_weight) * (warm or weight < old_weight), name, weight)
-                )
+                shrinks = weight < old_weight
+                urgency = (old_weight < math.inf) * (1 if shrinks and not warm else 2)
+                size = abs(weight - old_weight) * (warm or shrinks)
+                changes.append((urgency, -math.inf if shrinks and not warm else -size, name, weight))
         changes.sort()
         sent = self.fitting_changes(now, changes, table)
         for urgency, _, name, weight in changes[:sent]:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -740,6 +740,24 @@
     harness.assert_trace_matches("cold_weights_grow_last")
 
 
+@pytest.mark.parametrize("overloaded", [False, True])
+def test_a_cold_line_shrinks_no_later_than_warm_lines_leave_a_busy_channel(overloaded):
+    """Where not all fitted, removals went first, and the cold task got the calls of the tasks that were gone."""
+    names = [f"t{n:02}" for n in range(20)]
+    harness = BrainHarness(names, 10)
+    harness.advance(1)
+    harness.handle(list_changes(task_line("x", started=1)))
+    harness.advance(6)
+    harness.brain.queue = harness.brain.unacknowledged = 1_860  # room for seven lines at each proxy
+    for name in names[:9]:
+        task = harness.brain.tasks[name]
+        task.ejected, task.ejected_until = True, harness.now + 100_000
+    harness.brain.usual_failure_share = 0.2 if overloaded else 0.0
+    harness.trace.clear()
+    harness.handle()
+    assert harness.trace[0].split()[1].startswith("x=0" if overloaded else "x=")
+
+
 def test_unconfirmed_orders_are_sent_again():
     harness = BrainHarness(acknowledges=False)
     harness.lose_last_orders(perhaps=False)
