--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -742,7 +742,7 @@
 
 @pytest.mark.parametrize("overloaded", [False, True])
 def test_a_cold_line_shrinks_no_later_than_warm_lines_leave_a_busy_channel(overloaded):
-    """Where not all fitted, removals went first, and the cold task got the calls of the tasks that were gone."""
+    """Where not all fitted, removals went first, and the cold task got the calls of the tasks that left."""
     names = [f"t{n:02}" for n in range(20)]
     harness = BrainHarness(names, 10)
     harness.advance(1)
