A cold task on trial carries no more than a quarter of the average share

Cause: table_lines capped the share of a task on probation only if it was warm; a cold one got its whole cold line, by then an even share of all calls, though it had failed those it got. Change: the cap holds for both. Why it works: on trial the smaller of the two bounds stands.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -866,11 +866,8 @@
             tasks += sorted(
                 (t for t in assigned if t.ejected and t.warm(now)), key=lambda t: t.fault_evidence
             )[:1]
-        warm = {
-            t.id: min(t.share, PROBATION_SHARE_RATIO) if t.on_probation else t.share
-            for t in tasks
-            if t.warm(now)
-        }
+        shares = {t: min(t.share, PROBATION_SHARE_RATIO) if t.on_probation else t.share for t in tasks}
+        warm = {t.id: share for t, share in shares.items() if t.warm(now)}
         # Squared, so that the calls of cold tasks fall faster than the health.
         cold_factor = max(
             cold_factor**2 * (cold_factor > MIN_HEALTH_FOR_COLD) if warm else 1.0,
@@ -878,14 +875,14 @@
         )
         capacity = {t: self.cold_capacity(now, t) for t in tasks if not t.warm(now)}
         enough = warm or (
-            sum(t.share * capacity_ratio for t, capacity_ratio in capacity.items())
+            sum(shares[t] * capacity_ratio for t, capacity_ratio in capacity.items())
             >= COLD_ONLY_CAPACITY_SHARE * table_calls
         )
         # task -> its share of the table's calls
         cold = {
             t.id: cold_factor
             * min(
-                t.share * min(capacity_ratio, 1.0) / table_calls,
+                shares[t] * min(capacity_ratio, 1.0) / table_calls,
                 capacity_ratio * self.answer_share(t) / table_share if warm else math.inf,
             )
             for t, capacity_ratio in capacity.items()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -758,6 +758,18 @@
     assert harness.trace[0].split()[1].startswith("x=0" if overloaded else "x=")
 
 
+def test_a_cold_task_on_trial_carries_no_more_than_a_warm_one_on_trial():
+    """It came back with its whole cold line, the even share of all calls, after it had failed those it got."""
+    harness = BrainHarness("abcdefgh")
+    harness.advance(1)
+    harness.handle(list_changes(task_line("x", started=1)))
+    harness.advance(6)
+    assert table_weights(harness.brain)["x"] > 0.8
+    harness.brain.tasks["x"].readmit(3.0)
+    harness.advance(0.5)
+    assert 0 < table_weights(harness.brain)["x"] <= 0.25
+
+
 def test_unconfirmed_orders_are_sent_again():
     harness = BrainHarness(acknowledges=False)
     harness.lose_last_orders(perhaps=False)
