Keep a withdrawn task that returns cold from proxies that hold old tables

What callers would see: a task that drained and came back within some seconds got calls by its former, warm line from proxies that still wait for their bind. Cause: push_lines lets a withdrawn task back with its first line in any table, and proxies that got the withdrawal while they keep a table of a former life then use that table's full line again. Change: a cold task gets no line while proxies wait that were told to withdraw it. Why it works: once they are bound they follow a table written here.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -873,7 +873,11 @@
             cold_factor**2 * (cold_factor > MIN_HEALTH_FOR_COLD) if warm else 1.0,
             proportional_health if self.rarely_avoided(warm) else 0.0,
         )
-        capacity = {t: self.cold_capacity(now, t) for t in tasks if not t.warm(now)}
+        capacity = {
+            t: self.cold_capacity(now, t)
+            for t in tasks
+            if not t.warm(now) and not (warm and self.is_kept_from_waiting_proxies(now, t))
+        }
         enough = warm or (
             sum(shares[t] * capacity_ratio for t, capacity_ratio in capacity.items())
             >= COLD_ONLY_CAPACITY_SHARE * table_calls
@@ -947,6 +951,14 @@
             or self.parameters.failures_before_avoidance / max(calls, 0.001) > SLOW_AVOIDANCE_S
         )
 
+    def is_kept_from_waiting_proxies(self, now, task):
+        """Whether proxies that still wait for their bind were told to withdraw a task: its first line here
+        would let them call it again, by the line that it has in their old tables."""
+        if task.id not in self.withdrawn:
+            return False
+        withdrawn_at = self.withdrawn[task.id] or now
+        return any(p.joined_at <= withdrawn_at for p in self.unbound_proxies.values() if not p.external)
+
     def answer_share(self, task):
         """What a warm task of the same kind answers, as a share of all tries; of the weakest kind if none of
         this one is known, and 0 as long as nothing is known."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -759,7 +759,7 @@
 
 
 def test_a_cold_task_on_trial_carries_no_more_than_a_warm_one_on_trial():
-    """It came back with its whole cold line, the even share of all calls, after it had failed those it got."""
+    """It came back with its whole cold line, an even share of all calls, after it had failed those it got."""
     harness = BrainHarness("abcdefgh")
     harness.advance(1)
     harness.handle(list_changes(task_line("x", started=1)))
@@ -770,6 +770,20 @@
     assert 0 < table_weights(harness.brain)["x"] <= 0.25
 
 
+def test_a_withdrawn_task_that_comes_back_cold_is_not_let_back_at_proxies_that_hold_old_tables():
+    """The first cold line here let them call it again, by the full line that it had when it was warm."""
+    harness = BrainHarness("abcdefgh", 0)
+    harness.reported_sums = dict.fromkeys("abcdefg", (1, 0, 200))  # too few answers for an adjustment
+    harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)))
+    harness.advance(0.5)
+    harness.handle(list_changes(task_line("h", "draining")))
+    harness.advance(0.5)
+    harness.handle(list_changes(task_line("h", started=1)))
+    harness.advance(7)
+    entries = [entry for line in harness.trace for entry in line[7:].split(", ")]
+    assert entries.index("withdraw h") < entries.index("bind 1") < entries.index("let back h")
+
+
 def test_unconfirmed_orders_are_sent_again():
     harness = BrainHarness(acknowledges=False)
     harness.lose_last_orders(perhaps=False)
