Bound the start times that discovery tells by the watch, whatever its wall clock says

What callers would see: after a step of discovery's wall clock, or with ours wrong at the start, a task that has just restarted counts as an hour old, gets its full line at once and is pushed over; with a clock an hour ahead it stays cold for an hour, and where all tasks restart so, nobody has a warm one. Cause: start times in Unix time were compared with a clock that ties Unix time to the monotonic clock once, at the start. Change: net/start_times.py moves a start told while the list is followed to between the last list less the 6 s that the protocol allows for telling, and now; a start in the future is now; a listed start that changes is a later one than before. A start once converted stays, also for an hour after its task was dropped, since a list may drop it wrongly. Why it works: the bounds come from our monotonic clock and the protocol alone.

--- a/garnetpaddle/net/serve.py
+++ b/garnetpaddle/net/serve.py
@@ -113,6 +113,7 @@
         decision_loop.publish,
         settings.discovery == "ask",
         config.known.generation,
+        decision_loop.now,
     )
     handlers.submit, handlers.probe, handlers.watch = (
         order_sender.submit,
@@ -130,7 +131,8 @@
             if (relay_orders := front_ends.platform_orders(orders))
             else None
         )
-    decision_loop.publish(gp.TaskListReceived("stale", task_lines(config.known)))
+    known_lines = task_list_watch.start_times.convert_known(decision_loop.now(), task_lines(config.known))
+    decision_loop.publish(gp.TaskListReceived("stale", known_lines))
 
     def move_relay(new_address):
         order_sender.move(new_address)
--- a/garnetpaddle/net/task_list_watch.py
+++ b/garnetpaddle/net/task_list_watch.py
@@ -10,6 +10,8 @@
 from garnetpaddle import interface as gp
 from garnetpaddle.net import http
 from garnetpaddle.net.configuration import ConfigurationError, parse_address
+from garnetpaddle.net.decision_loop import make_clock
+from garnetpaddle.net.start_times import StartTimes
 from garnetpaddle.net.task_list_codec import TaskList, task_lines
 
 TASK_LIST_PATH = "/discovery/hosts"
@@ -132,13 +134,14 @@
     """Keeps a subscription to the task list and publishes it as gp.TaskListReceived.
 
     must_ask: a SubscribeTaskList order starts the subscription and a failure ends it; otherwise it is
-    permanent. generation: that of the last known list."""
+    permanent. generation: that of the last known list. clock: that of the events' times."""
 
-    def __init__(self, address, addresses, publish, must_ask, generation=0):
+    def __init__(self, address, addresses, publish, must_ask, generation=0, clock=None):
         self.agent, self.addresses, self.publish, self.must_ask = Agent(address), addresses, publish, must_ask
         self.poll_task, self.target_address, self.move_task, self.last_polls = None, address, None, set()
         self.failures, self.must_publish_next, self.generation_check = 0, False, GenerationCheck(generation)
         self.subscribed, self.agent_replaced = asyncio.Event(), asyncio.Event()
+        self.clock, self.start_times = clock or make_clock(), StartTimes()
 
     def subscribe(self):
         """Handles a SubscribeTaskList order: the next list is published even if it is empty."""
@@ -266,6 +269,7 @@
                 self.agent.since = None  # makes the next poll request the full list
             return
         self.addresses.update(task_list)
-        if response.lines or task_list.reset or self.must_publish_next:
+        lines = self.start_times.convert(self.clock(), response.lines, task_list.reset)
+        if lines or task_list.reset or self.must_publish_next:
             self.must_publish_next = False
-            self.publish(gp.TaskListReceived("full" if task_list.reset else "changes", response.lines))
+            self.publish(gp.TaskListReceived("full" if task_list.reset else "changes", lines))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -59,6 +59,8 @@
     )
 
 
+FIXED_TIME = 50_000  # of the clock in the tests of the task list: too early to move a start time
+
 RELAY_RESPONSES = {
     "accepted": [accepted_response(2), accepted_response(1)],
     "byte_by_byte": [[bytes([b]) for b in accepted_response(2)[0]], accepted_response(1)],
@@ -144,7 +146,9 @@
 
     async def scenario():
         async with ScriptedServer(*script) as agent:
-            watch = task_list_watch.TaskListWatch(agent.address, addresses, published.append, must_ask)
+            watch = task_list_watch.TaskListWatch(
+                agent.address, addresses, published.append, must_ask, clock=lambda: FIXED_TIME
+            )
             running = asyncio.create_task(watch.run())
             for n in range(asks):
                 watch.subscribe()
