--- a/benchmarks/faults/process_link.py
+++ b/benchmarks/faults/process_link.py
@@ -4,9 +4,11 @@
 import contextlib
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import time
+from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
 from benchmarks.faults import day as days
@@ -20,25 +22,49 @@
 from garnetpaddle import interface as gp
 
 ADVANCE_INTERVAL_S = 0.002  # between advances of the scheduler
-HEARTBEAT_INTERVAL_S = 0.02
+HEARTBEAT_INTERVAL_S = 0.02  # between attempts to connect at a start
+CROWD_PERIOD_S, MAX_CROWD = 0.25, 60  # a few strangers come each period; the eldest leave
 START_LIMIT_S = 30.0  # from a start to the first answer
 KEEPALIVE_INTERVAL_S = 1.0
 EXIT_LIMIT_S = 3.0  # from SIGTERM to SIGKILL
+HEARTBEAT_PERIOD_S = 0.5  # between heartbeats on the connection that stays open until the process ends
+ANSWER_LIMIT_S = 1.0  # within which a heartbeat has to be answered
 SOCKETS = 1_024
 TENTHS_OF_MS_PER_SECOND = 10_000
 LIFECYCLES = {"ready": "active", "draining": "leaving", "gone": "left"}
 RETRY_MODES = {"0": "none", "1": "on proof", "2": "once"}
 
 
+@dataclass(slots=True)
+class LinkUsage:
+    """What the processes of one assigner took; of several lives the worst."""
+
+    seconds_to_ready: list = field(default_factory=list)  # from each start to the first answer
+    worst_answer_s: float = 0.0  # to a heartbeat
+    worst_end_s: float = 0.0  # from a signal to the exit
+    peak_mb: float = 0.0
+    descriptors: int = 0
+
+
+async def read_answer(reader):
+    """The next line; nothing if it does not come in time or the connection ends."""
+    try:
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            return await reader.readline()
+    except (OSError, TimeoutError):
+        return b""
+
+
 class InvalidOrderError(ValueError):
     """The relay cannot read or use an order."""
 
 
 class Environment:
-    """What the links of one run share: a directory, the task ports, and the clock's offset to Unix time."""
+    """What the links of one run share: a directory, the task ports, the clock's offset to Unix time, and
+    whether a crowd of strangers connects to the assigners."""
 
-    def __init__(self, directory):
-        self.directory, self.task_ports = directory, None
+    def __init__(self, directory, crowd):
+        self.directory, self.crowd, self.task_ports = directory, crowd, None
         self.epoch_ms = None  # Unix time at the scheduler's time 0
 
     def unix_ms(self, at):
@@ -55,7 +81,7 @@
         self.listen_port = free_port()
         self.streams, self.collectors, self.background = [], {}, set()
         self.generation, self.changes, self.watches = 1, [], []
-        self.seconds_to_ready = []
+        self.usage = LinkUsage()
 
     async def open(self):
         """Opens the relay and the agent, which outlive the process."""
@@ -117,15 +143,62 @@
         if process.poll() is not None:
             self.add_crash(f"ended with {process.returncode} at its start")
             return
-        self.seconds_to_ready.append(time.monotonic() - started_at)
+        self.usage.seconds_to_ready.append(time.monotonic() - started_at)
         self.on_up()
+        self.run_in_background(self.send_heartbeats(process))
+        if self.environment.crowd:
+            self.run_in_background(self.send_crowd(process))
         for zone in days.ZONES:
             _, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
             writer.write(f"telemetry site={zone}\r\n".encode())
             self.collectors[zone] = writer
 
+    async def send_heartbeats(self, process):
+        """Sends heartbeats on one connection until the process is stopped; each has to be answered."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
+        with contextlib.suppress(OSError):
+            while process is self.process:
+                sent_at = time.monotonic()
+                writer.write(b"hb\r\n")
+                answer = await read_answer(reader)
+                if process is not self.process:
+                    break
+                if answer != b"hb_ok\r\n":
+                    self.add_violation("answer", f"a heartbeat got {answer!r}")
+                    break
+                seconds = time.monotonic() - sent_at
+                self.usage.worst_answer_s = max(self.usage.worst_answer_s, seconds)
+                await asyncio.sleep(HEARTBEAT_PERIOD_S)
+        writer.transport.abort()
+
+    async def send_crowd(self, process):
+        """Connects strangers that say nothing, half a line or nonsense, until the process is stopped."""
+        texts = (b"", b"telemetry si", b"GET / HTTP/1.1\r\n\r\n", b"hb\r\n" * 20, b"\0" * 5_000)
+        writers = []
+        while process is self.process:
+            with contextlib.suppress(OSError):
+                for text in texts:
+                    _, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
+                    writer.write(text)
+                    writers.append(writer)
+            while len(writers) > MAX_CROWD:
+                writers.pop(0).transport.abort()
+            await asyncio.sleep(CROWD_PERIOD_S)
+        for writer in writers:
+            writer.transport.abort()
+
+    def measure(self, process):
+        """Records what a process holds before it is stopped."""
+        with contextlib.suppress(OSError):
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+            peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+            descriptors = len(os.listdir(f"/proc/{process.pid}/fd"))
+            self.usage.peak_mb = max(self.usage.peak_mb, int(peak.split()[1]) / 1_024)
+            self.usage.descriptors = max(self.usage.descriptors, descriptors)
+
     def stop(self, signal_name):
         process, self.process = self.process, None
+        self.measure(process)
         process.send_signal(signal.Signals[signal_name])
         self.run_in_background(self.wait_for_exit(process, signal_name))
         for writer in self.collectors.values():
@@ -134,7 +207,8 @@
 
     async def wait_for_exit(self, process, signal_name):
         """Checks that SIGTERM ends the process by itself with exit code 0."""
-        deadline = time.monotonic() + EXIT_LIMIT_S
+        signalled_at = time.monotonic()
+        deadline = signalled_at + EXIT_LIMIT_S
         while process.poll() is None and time.monotonic() < deadline:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
         if process.poll() is None:
@@ -142,6 +216,8 @@
             self.add_crash(f"did not end within {EXIT_LIMIT_S:g} s of {signal_name}")
         elif signal_name == "SIGTERM" and process.returncode:
             self.add_crash(f"ended with {process.returncode} after SIGTERM")
+        seconds = time.monotonic() - signalled_at
+        self.usage.worst_end_s = max(self.usage.worst_end_s, seconds)
 
     def check_alive(self):
         """Records a crash if the process has ended by itself."""
@@ -151,14 +227,20 @@
 
     def add_crash(self, why):
         """Records a crash."""
+        self.add_violation("crash", why)
+
+    def add_violation(self, rule, why):
+        """Records a broken rule of this assigner."""
         now = self.fleet.scheduler.now
-        self.fleet.judge.violations.append(Violation("crash", now, f"n{self.rank + 1}", why))
+        self.fleet.judge.violations.append(Violation(rule, now, f"n{self.rank + 1}", why))
 
     async def close(self):
         """Ends the process and all servers."""
-        if self.process and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+        process, self.process = self.process, None
+        if process and process.poll() is None:
+            self.measure(process)
+            process.kill()
+            process.wait()
         for task in self.background:
             task.cancel()
         self.relay.close()
@@ -288,9 +370,11 @@
         raise InvalidOrderError(fields)
 
 
-async def play(day, directory):
-    """Plays a day with processes in real time; returns the finished FleetModel. directory: for their logs."""
-    environment = Environment(directory)
+async def play(day, directory, crowd=False):
+    """Plays a day with processes in real time; returns the finished FleetModel.
+
+    directory: for their logs. crowd: strangers connect to the assigners all day."""
+    environment = Environment(directory, crowd)
     fleet = FleetModel(day, lambda fleet, rank: ProcessLink(fleet, rank, environment))
     environment.task_ports = TaskPorts(fleet.nodes)
     await environment.task_ports.open()
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,130 @@
+"""Plays days of injected faults with processes of `serve` in real time and judges the rules.
+
+    python -m benchmarks.soak --seeds 50                      # seeds 1 to 50, half of them with a crowd
+    python -m benchmarks.soak --first 32 --seeds 1 --load 0.9 --logs logs
+    python -m benchmarks.soak --virtual --seeds 100           # in process, on a virtual clock: quick
+
+One row a day: rules broken, most of a cold task's budget that was used, service, the longest times to the
+first answer, to a heartbeat's answer and to the end, memory and descriptors. Ends with 1 if a rule broke.
+"""
+
+import argparse
+import asyncio
+import concurrent.futures
+import pathlib
+import sys
+import tempfile
+from dataclasses import dataclass
+
+from benchmarks.faults import brain_link, process_link
+from benchmarks.faults import day as days
+
+LOADS = (None, 0.9, 1.0)  # share of all cores, by seed; None: drawn
+ASSIGNERS = (3, 2, 3, 1)  # by seed
+HEADER = (
+    "| seed | load | assigners | crowd | broken | budget | service | ready s | answer s | end s | MB | fds |"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One day to play."""
+
+    seed: int
+    load: float | None
+    assigners: int
+    crowd: bool
+    virtual: bool
+    directory: str
+
+    def day(self):
+        """The day that it plays."""
+        return days.draw_day(self.seed, self.load, self.assigners, tasks_restart_with_assigner=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The row of a run, and the rules that it broke."""
+
+    row: str
+    violations: tuple[str, ...]
+
+
+def play(run):
+    """Plays a day in a worker process."""
+    if run.virtual:
+        fleet = brain_link.play(run.day())
+        usages = []
+    else:
+        directory = pathlib.Path(run.directory) / f"seed-{run.seed}"
+        directory.mkdir(parents=True, exist_ok=True)
+        fleet = asyncio.run(process_link.play(run.day(), directory, run.crowd))
+        usages = [link.usage for link in fleet.links]
+    return Outcome(row(run, fleet, usages), tuple(str(violation) for violation in fleet.judge.violations))
+
+
+def row(run, fleet, usages):
+    """The table's row of a run."""
+    ready = max((seconds for usage in usages for seconds in usage.seconds_to_ready), default=0.0)
+    figures = (
+        run.seed,
+        "drawn" if run.load is None else run.load,
+        run.assigners,
+        "yes" if run.crowd else "no",
+        len(fleet.judge.violations) or "none",
+        f"{fleet.judge.peak_budget_use:.2f}",
+        f"{fleet.result.service():.3f}",
+        f"{ready:.2f}",
+        f"{max((usage.worst_answer_s for usage in usages), default=0.0):.2f}",
+        f"{max((usage.worst_end_s for usage in usages), default=0.0):.2f}",
+        f"{max((usage.peak_mb for usage in usages), default=0.0):.0f}",
+        max((usage.descriptors for usage in usages), default=0),
+    )
+    return "| " + " | ".join(map(str, figures)) + " |"
+
+
+def parse_arguments():
+    """The command line."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--load", type=float, help="share of all cores; else by seed")
+    parser.add_argument("--jobs", type=int, default=8, help="days at once")
+    parser.add_argument("--virtual", action="store_true", help="in process, on a virtual clock")
+    parser.add_argument("--logs", help="folder for the assigners' logs; else they are not kept")
+    return parser.parse_args()
+
+
+def runs(options, directory):
+    """The days to play."""
+    for seed in range(options.first, options.first + options.seeds):
+        load = options.load or LOADS[seed % len(LOADS)]
+        yield Run(
+            seed,
+            load,
+            ASSIGNERS[seed % len(ASSIGNERS)],
+            seed % 2 == 0,
+            options.virtual,
+            options.logs or directory,
+        )
+
+
+def main():
+    """Plays the days; returns the exit code."""
+    options, broken = parse_arguments(), []
+    print(HEADER, "| --- " * HEADER.count(" | ") + "| --- |", sep="\n", flush=True)
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        concurrent.futures.ProcessPoolExecutor(options.jobs) as pool,
+    ):
+        for outcome in pool.map(play, runs(options, directory)):
+            print(outcome.row, flush=True)
+            broken += [f"seed {outcome.row.split()[1]}: {text.strip()}" for text in outcome.violations]
+    print(*broken, f"{len(broken)} broken rules in {options.seeds} days", sep="\n")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
