--- a/garnetpaddle/front_ends/connection.py
+++ b/garnetpaddle/front_ends/connection.py
@@ -15,7 +15,7 @@
     number: unique in its manager; written: bytes written to the client so far; acked: how many of them its
     TCP stack had acknowledged when last checked; session_timer_at: when the session's timer is due, or None;
     input_queued_since: when the chunk now queued was read, or None; input_processed: set once that chunk is
-    processed. Times are in tenths of a ms."""
+    processed; snapshot_pending: a snapshot was published meanwhile. Times are in tenths of a ms."""
 
     def __init__(self, number, reader, writer, session, decoder, now):
         self.number, self.reader, self.writer = number, reader, writer
@@ -24,6 +24,7 @@
         self.ack_poll_interval, self.ack_poll_scheduled = MIN_ACK_POLL_INTERVAL, False
         self.session_timer_at, self.closing = None, False
         self.input_queued_since, self.input_processed = None, asyncio.Event()
+        self.snapshot_pending = False
 
     def acknowledged(self):
         """Returns how many bytes the client's TCP stack has acknowledged."""
--- a/garnetpaddle/front_ends/connection_manager.py
+++ b/garnetpaddle/front_ends/connection_manager.py
@@ -113,10 +113,14 @@
                 if time.monotonic() - slice_start >= TIME_SLICE:
                     await asyncio.sleep(0)
                     slice_start = time.monotonic()
-                connection = self.connections.get(number)
-                # A connection with queued input gets the snapshot after its input.
-                if connection and connection.input_queued_since is None:
-                    self.dispatch(connection, SnapshotPublished(self.publisher.snapshot))
+                if connection := self.connections.get(number):
+                    self.publish_snapshot(connection)
+
+    def publish_snapshot(self, connection):
+        """Passes the newest snapshot to a session, after the input that is queued before it."""
+        connection.snapshot_pending = connection.input_queued_since is not None
+        if not connection.snapshot_pending:
+            self.dispatch(connection, SnapshotPublished(self.publisher.snapshot))
 
     async def serve(self, reader, writer, create_session):
         """Serves one connection until it ends."""
@@ -164,6 +168,8 @@
                 if connection.closing:
                     break
             self.dispatch(connection, InputProcessed(connection.decoder.has_partial_message()))
+            if connection.snapshot_pending:
+                self.publish_snapshot(connection)
         except Exception:
             log.exception("connection_failed")
             connection.abort()
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -17,10 +18,14 @@
 from garnetpaddle import interface as gp
 from garnetpaddle import operator as op
 from garnetpaddle.advice.leases import FIRST_FOLLOWER_PROXY_NUMBER
+from garnetpaddle.advice.session_events import SnapshotPublished
 from garnetpaddle.client import DfpClient, SaspClient, Update, Weight, merge
+from garnetpaddle.front_ends.connection_manager import ConnectionManager
 from garnetpaddle.sasp import codec
 from garnetpaddle.sasp import messages as m
 from garnetpaddle.sasp.session import Session
+from garnetpaddle.snapshots import EMPTY_SNAPSHOT
+from garnetpaddle.snapshots.publisher import SnapshotPublisher
 
 
 def shortest_wait(low, high):
@@ -565,3 +570,50 @@
     assert completed.returncode == 2 and "garnetpaddle[operator]" in completed.stderr
     completed = run_program(["version"], code.replace("hcl2", "click"))
     assert completed.returncode == 2 and "garnetpaddle[cli]" in completed.stderr
+
+
+class RecordingSession:
+    """A session that records its events; its decoder passes each chunk on as one message."""
+
+    follower = None
+
+    def __init__(self):
+        self.events = []
+
+    def handle(self, now, event):
+        self.events.append(event)
+        return []
+
+    def feed(self, chunk):
+        return [chunk]
+
+    def has_partial_message(self):
+        return False
+
+
+def test_a_snapshot_published_while_input_is_queued_reaches_the_session_after_that_input():
+    """The session heard of it, and of a drain in it, with the next snapshot only."""
+
+    async def scenario():
+        session, publisher = RecordingSession(), SnapshotPublisher()
+        manager = ConnectionManager(publisher, lambda: 0, lambda event: None, 10, 1_000)
+        address = await manager.open(("127.0.0.1", 0), lambda *_: (session, session))
+        distribution = asyncio.create_task(manager.distribute_snapshots())
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(b"x")
+        await wait_until(lambda: manager.input_queue)
+        newer = dataclasses.replace(EMPTY_SNAPSHOT, generation=1)
+        publisher.publish(newer)
+        await wait_until(lambda: publisher.next_publication is not None)
+        session.events.clear()
+        processing = asyncio.create_task(manager.process_inputs())
+        await wait_until(lambda: not manager.input_queue and session.events)
+        for task in (distribution, processing):
+            task.cancel()
+        manager.close()
+        writer.close()
+        return [type(event).__name__ for event in session.events], session.events[-1], newer
+
+    names, last, newer = asyncio.run(scenario())
+    assert names[-3:] == ["MessageReceived", "InputProcessed", "SnapshotPublished"]
+    assert last == SnapshotPublished(newer)
