--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,7 +21,7 @@
 import statistics
 
 from garnetpaddle import interface as gp
-from garnetpaddle.call_rates import CallRates
+from garnetpaddle.cold_tasks import ColdTasks, health_factor
 from garnetpaddle.state import Proxy, PushAcknowledgements, Table, Task
 from garnetpaddle.task_registry import TaskRegistry
 
@@ -50,19 +50,6 @@
 FAILURE_LATENCY_TENTHS_MS = SECOND  # a failed answer counts as 1 s of latency
 REPORT_COLLECTION_TENTHS_MS = 1_500  # 0.15 s: the lines of one report may arrive in several batches
 
-# Cold tasks, those that are still warming up
-COLD_CAPACITY_SHARE = 0.6  # of what a cold task can take: the rest is for bursts and weak machines
-# Without a warm task, cold tasks get lines if their summed capacity is at least this share of the table's
-# calls. The capacity contains COLD_CAPACITY_SHARE, so that both sides are cut alike: all calls are then no
-# more than the cold tasks can take in full.
-COLD_ONLY_CAPACITY_SHARE = COLD_CAPACITY_SHARE
-# At this health or below cold tasks get no line: whatever its weight, it would get all calls that proxies
-# keep from the tasks that they avoid.
-MIN_HEALTH_FOR_COLD = 0.6
-# Report periods without a line: a task that has just started can take little, and reports would not
-# show an overload yet.
-COLD_START_DELAY_PERIODS = 2.5
-
 # Tables
 MIN_WEIGHT_RATIO = 0.005  # of the average: a smaller weight is left out, as a line of weight 0 is no line
 MIN_WEIGHT_CHANGE_RATIO = 0.1  # a smaller change of a weight is not sent
@@ -156,9 +143,7 @@
         self.withdrawn = {}  # task -> when its withdrawal was ordered, False where that order is in doubt
         self.log_messages = []
         self.pending_reports = []
-        self.call_rates = CallRates(SMOOTHING_FACTOR)
-        # kind -> what a warm task of this kind answers, as a share of all tries that are reported here
-        self.answer_shares = {}
+        self.cold_tasks = ColdTasks(parameters, SMOOTHING_FACTOR)
         # (task, zone) -> the estimated end of the time that its last reports covered; see record_covered_time
         self.counted_until = {}
         self.timers = [(0, 0, Brain.subscribe, None)] * (parameters.list_mode == "ask")
@@ -277,7 +262,7 @@
             else:
                 share = statistics.fmean(shares.get(entry.kind) or [entry.size / self.mean_size])
                 self.registry.register(Task(entry, share, self.parameters.warm_after))
-                self.call_rates.forget_task(entry.task)
+                self.cold_tasks.forget(entry.task)
                 for table in self.tables:  # the old line of a restarted task goes as urgently as in a drain
                     table.weights |= {entry.task: math.inf} if entry.task in table.weights else {}
         self.registry.update_line(now, entry)
@@ -465,7 +450,7 @@
                 a + b for a, b in zip(sums_by_task.get(event.task, (0, 0, 0.0)), sums, strict=True)
             ]
             task.update_load(event.load)
-            self.call_rates.record(now, event)
+            self.cold_tasks.record(now, event)
             if 0 < self.effective_at["weights"] <= until - event.span:
                 task.add_calls(*sums)
             if 0 < self.effective_at["levels"] <= until - event.span / 2:
@@ -483,7 +468,7 @@
             self.usual_in_flight *= 1 + SMOOTHING_FACTOR * (
                 max(self.backlog() * BACKLOG_RATIO, 1 / self.usual_in_flight) - 1
             )
-        self.update_answer_shares(now)
+        self.cold_tasks.update_answer_shares(now, self.own_tasks, REPORT_VALID_ROUNDS * self.report_round)
         if level_sums[0] and self.parameters.level_kind == "fraction":
             self.update_levels(*level_sums)
         tasks = [t for t in self.own_tasks if not t.ejected]
@@ -494,24 +479,6 @@
         ):
             self.update_shares(tasks)
 
-    def update_answer_shares(self, now):
-        """Updates what a warm task of each kind answers, from the rates that are still valid.
-
-        Warm tasks without a rate, as soon after a start, are taken to get as many tries as the others."""
-        rates = self.call_rates
-        rates.forget_until(now - REPORT_VALID_ROUNDS * self.report_round)
-        warm = [task for task in self.own_tasks if task.warm(now) and not task.ejected]
-        reported = {task: rate for task in warm if (rate := rates.rate(task.id))}
-        self.answer_shares = {}
-        if not reported:
-            return
-        mean_tries = statistics.fmean(rate.tries for rate in reported.values())
-        total = rates.total_tries() + mean_tries * (len(warm) - len(reported))
-        answers = {}  # kind -> answers per second of its tasks
-        for task, rate in reported.items():
-            answers.setdefault(task.kind, []).append(rate.answers)
-        self.answer_shares = {kind: statistics.median(values) / total for kind, values in answers.items()}
-
     def update_statistics(self, now, name, tries, failures, latency_sum):
         """Updates a task's statistics; returns whether its answers count as evidence for or against a fault.
 
@@ -853,13 +820,10 @@
                 }
         return assigned
 
-    def table_lines(self, now, assigned, table_calls, table_share, cold_factor, proportional_health):
-        """A table's lines: task -> weight.
+    def table_lines(self, now, assigned, table_calls, table_share, health, proportional_health):
+        """A table's lines: task -> weight. Cold tasks get what ColdTasks lets them have.
 
-        A cold task gets as much of an even share as it can take, and no more than it can take of what a warm
-        one of its kind answers. While many tasks fail it gets none, as all calls that proxies keep from the
-        others would go to it. table_calls: the table's calls in units of an average task's; table_share: its
-        share of all calls; cold_factor: the health, from which the factor on cold tasks' weights follows.
+        table_calls: the table's calls in units of an average task's; table_share: its share of all calls.
         """
         tasks = [t for t in assigned if not t.ejected]
         if not any(t.warm(now) for t in tasks):  # a failing task is better than none: keep the least suspect
@@ -868,36 +832,25 @@
             )[:1]
         shares = {t: min(t.share, PROBATION_SHARE_RATIO) if t.on_probation else t.share for t in tasks}
         warm = {t.id: share for t, share in shares.items() if t.warm(now)}
-        # Squared, so that the calls of cold tasks fall faster than the health.
-        cold_factor = max(
-            cold_factor**2 * (cold_factor > MIN_HEALTH_FOR_COLD) if warm else 1.0,
-            proportional_health if self.rarely_avoided(warm) else 0.0,
-        )
-        capacity = {
-            t: self.cold_capacity(now, t)
-            for t in tasks
-            if not t.warm(now) and not (warm and self.is_kept_from_waiting_proxies(now, t))
+        cold = {t: share for t, share in shares.items() if not t.warm(now)}
+        if not warm:
+            call_shares = self.cold_tasks.call_shares_alone(now, cold, table_calls)
+            return {
+                name: share * table_calls
+                for name, share in call_shares.items()
+                if share * table_calls >= MIN_WEIGHT_RATIO
+            }
+        cold = {t: share for t, share in cold.items() if not self.is_kept_from_waiting_proxies(now, t)}
+        factor = health_factor(health, proportional_health, self.rarely_avoided(warm))
+        call_shares = {
+            name: factor * share
+            for name, share in self.cold_tasks.call_shares(now, cold, table_calls, table_share).items()
         }
-        enough = warm or (
-            sum(shares[t] * capacity_ratio for t, capacity_ratio in capacity.items())
-            >= COLD_ONLY_CAPACITY_SHARE * table_calls
-        )
-        # task -> its share of the table's calls
-        cold = {
-            t.id: cold_factor
-            * min(
-                shares[t] * min(capacity_ratio, 1.0) / table_calls,
-                capacity_ratio * self.answer_share(t) / table_share if warm else math.inf,
-            )
-            for t, capacity_ratio in capacity.items()
-            if enough
-        }
-        cold_share = sum(cold.values())
-        total_weight = sum(warm.values()) / (1 - min(cold_share, 0.9)) if warm else table_calls
+        total_weight = sum(warm.values()) / (1 - min(sum(call_shares.values()), 0.9))
         return warm | {
-            name: call_share * total_weight
-            for name, call_share in cold.items()
-            if call_share * total_weight >= MIN_WEIGHT_RATIO
+            name: share * total_weight
+            for name, share in call_shares.items()
+            if share * total_weight >= MIN_WEIGHT_RATIO
         }
 
     def select_own_part(self, now, ready):
@@ -959,20 +912,6 @@
         withdrawn_at = self.withdrawn[task.id] or now
         return any(p.joined_at <= withdrawn_at for p in self.unbound_proxies.values() if not p.external)
 
-    def answer_share(self, task):
-        """What a warm task of the same kind answers, as a share of all tries; of the weakest kind if none of
-        this one is known, and 0 as long as nothing is known."""
-        weakest = min(self.answer_shares.values(), default=0.0)
-        return self.answer_shares.get(task.kind, weakest)
-
-    def cold_capacity(self, now, task):
-        """The ratio of an even share that a cold task may get by its age."""
-        age = now - task.ramp_from
-        start = self.parameters.start_share
-        fall = self.parameters.fall_multiple
-        capacity = COLD_CAPACITY_SHARE * (fall * (start + (1 - start) * min(age / max(task.ramp_time, 1), 1)))
-        return capacity * (age >= COLD_START_DELAY_PERIODS * self.parameters.report_period)
-
     def emit(self, now, orders):
         """The one place where the wanted and the present state are compared and the difference is ordered:
         lines and levels of the tables, then binds, then withdrawals for proxies that wait for their bind."""
--- a/tests/test_fault_scenarios.py
+++ b/tests/test_fault_scenarios.py
@@ -31,7 +31,8 @@
 from test_net import ListenerServer, long_timeouts, read_to_end  # noqa: F401
 
 from garnetpaddle import interface as gp
-from garnetpaddle.brain import COLD_CAPACITY_SHARE, INHERITED_TABLES_TENTHS_MS
+from garnetpaddle.brain import INHERITED_TABLES_TENTHS_MS
+from garnetpaddle.cold_tasks import COLD_CAPACITY_SHARE
 from garnetpaddle.net import http as client
 from garnetpaddle.net import listener
 from garnetpaddle.net.event_subscription import EventSubscription
