--- a/benchmarks/faults/day.py
+++ b/benchmarks/faults/day.py
@@ -1,5 +1,6 @@
 """Days of fault injection: a fleet, its load and its faults, drawn from a seed. No I/O; times in seconds."""
 
+import dataclasses
 import random
 from dataclasses import dataclass
 
@@ -9,6 +10,7 @@
 PROXIES_PER_ASSIGNER = 80
 ZONES = ("north", "south", "west")
 DAY_LENGTH_S = 66.0
+LAST_RESTART_S = 6.0
 INTAKE_LINES_PER_S = 150  # report lines that an assigner is given at most
 
 
@@ -148,6 +150,21 @@
     )
 
 
+def excerpt(day, start, length):
+    """A shorter day: the faults that begin within `length` s from `start` on, moved to the day's beginning.
+
+    An assigner's later restart comes LAST_RESTART_S before the end."""
+    faults = []
+    for fault in day.faults:
+        at = fault.at - start
+        if isinstance(fault, AssignerRestart) and at >= length:
+            at = length - LAST_RESTART_S
+        if 0 <= at < length:
+            moved = {"at": at} | ({"end": fault.end - start} if isinstance(fault, TaskFault) else {})
+            faults.append(dataclasses.replace(fault, **moved))
+    return dataclasses.replace(day, faults=tuple(sorted(faults, key=lambda fault: fault.at)), length=length)
+
+
 def draw_kinds(rng):
     """Three machine types of unequal size, with their true ramp-up after a start."""
     sizes = (
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -1,8 +1,10 @@
-"""Days of fault injection with three assigners, in process on a virtual clock."""
+"""Days of fault injection with three assigners: in process on a virtual clock, and as processes."""
+
+import asyncio
 
 import pytest
 
-from benchmarks.faults import brain_link
+from benchmarks.faults import brain_link, process_link
 from benchmarks.faults import day as days
 
 
@@ -14,3 +16,11 @@
 def test_no_cold_task_is_pushed_over_amid_restarts_and_an_overload(seed, utilization):
     """Three assigners together sent a restarted task more than it bears, by lines that each had written."""
     assert violations(brain_link.play(days.draw_day(seed, utilization))) == []
+
+
+def test_processes_keep_the_rules_amid_signals_deaths_a_release_and_a_crowd(tmp_path):
+    """Also: each heartbeat on a connection that is open until the signal is answered; SIGTERM ends with 0."""
+    day = days.excerpt(days.draw_day(6, 0.6, tasks_restart_with_assigner=True), 16.0, 18.0)
+    fleet = asyncio.run(process_link.play(day, tmp_path, crowd=True))
+    assert violations(fleet) == []
+    assert sum(len(link.usage.seconds_to_ready) for link in fleet.links) == 5
