Log which bound held a cold line, its own answers, waits for binds, holders of old tables

Change: cold_line tells both bounds, the answers of its kind and its own reported tries and answers; proxies_bound the slowest wait; status the unbound holders of tables. ColdTasks keeps a ColdBudget for each cold task, forgotten when the task restarts or leaves.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -278,6 +278,7 @@
             ):
                 orders += [gp.WithdrawTask(name, False)] * (self.withdrawn.pop(name, None) is not None)
                 self.registry.remove(name)
+                self.cold_tasks.forget(name)
 
     def subscribe(self, now, _, orders):
         orders.append(gp.SubscribeTaskList())
--- a/garnetpaddle/cold_tasks.py
+++ b/garnetpaddle/cold_tasks.py
@@ -7,8 +7,9 @@
 """
 
 import statistics
+from dataclasses import dataclass
 
-from garnetpaddle.call_rates import CallRates
+from garnetpaddle.call_rates import CallRate, CallRates
 
 COLD_CAPACITY_SHARE = 0.6  # of what a cold task can take: the rest is for bursts and weak machines
 # Without a warm task, cold tasks get lines if their summed capacity is at least this share of the table's
@@ -23,6 +24,23 @@
 COLD_START_DELAY_PERIODS = 2.5
 
 
+@dataclass(frozen=True, slots=True)
+class ColdBudget:
+    """What a cold task may get, as shares of a table's calls: the smaller of the two bounds.
+
+    capacity: what it may get by its age, in units of what a warm task gets; answer_share: what a warm task of
+    its kind answers, as a share of all tries."""
+
+    by_share: float
+    by_answers: float
+    capacity: float
+    answer_share: float
+
+    def call_share(self):
+        """The share of the table's calls that the task may get."""
+        return min(self.by_share, self.by_answers)
+
+
 class ColdTasks:
     """parameters: interface.Parameters; smoothing_factor: the weight of the latest report of a rate."""
 
@@ -31,14 +49,20 @@
         self.call_rates = CallRates(smoothing_factor)
         # kind -> what a warm task of this kind answers, as a share of all tries that are reported here
         self.answer_shares = {}
+        self.budgets = {}  # cold task -> the ColdBudget of its latest line beside warm ones
 
     def record(self, now, report):
         """Takes over a TaskReport; its span must be above 0."""
         self.call_rates.record(now, report)
 
     def forget(self, task):
-        """Forgets the reports of a task that has restarted."""
+        """Forgets the reports of a task that has restarted or left."""
         self.call_rates.forget_task(task)
+        self.budgets.pop(task, None)
+
+    def own_rate(self, task):
+        """The CallRate that is reported of a task by its name."""
+        return self.call_rates.rate(task) or CallRate()
 
     def update_answer_shares(self, now, own_tasks, valid_for):
         """Updates what a warm task of each kind answers, from the rates reported within `valid_for`.
@@ -78,13 +102,14 @@
 
         shares: cold task -> its share, the average being 1; table_calls: the table's calls in units of an
         average task's; table_share: the table's part of all calls."""
-        call_shares = {}
+        budgets = {}
         for task, share in shares.items():
-            capacity = self.capacity(now, task)
+            capacity, answer_share = self.capacity(now, task), self.answer_share(task)
             by_share = share * min(capacity, 1.0) / table_calls
-            by_answers = capacity * self.answer_share(task) / table_share
-            call_shares[task.id] = min(by_share, by_answers)
-        return call_shares
+            by_answers = capacity * answer_share / table_share
+            budgets[task.id] = ColdBudget(by_share, by_answers, capacity, answer_share)
+        self.budgets |= budgets
+        return {name: budget.call_share() for name, budget in budgets.items()}
 
     def call_shares_alone(self, now, shares, table_calls):
         """As call_shares, for a table without a warm task: none until together they can take its calls."""
--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -22,13 +22,14 @@
     def __init__(self, brain, warm_after):
         self.brain, self.warm_after = brain, warm_after
         self.started_at = {}  # task -> its start, until it is warm
+        self.joined_at = {}  # proxy -> when it joined, until it is bound
         self.failing_probes = {}  # task -> the outcome of its last probe, unless that was "ok"
         self.next_status_at = 0
 
     def observe(self, now, events, orders):
         """Logs a batch: its events, then the orders given for them."""
         self.log_list(now, events)
-        self.log_membership(events)
+        self.log_membership(now, events)
         self.log_probes(events)
         self.log_orders(now, orders)
         if now >= self.next_status_at:
@@ -60,15 +61,19 @@
         age = {"age_s": seconds(now - line.started_at)} if line.started_at else {}
         log.info("task_listed", task=line.task, state=line.state, **age)
 
-    def log_membership(self, events):
+    def log_membership(self, now, events):
         """Logs how many proxies joined and left."""
         joined = [event for event in events if isinstance(event, gp.ProxyJoined)]
         left = sum(isinstance(event, gp.ProxyLeft) for event in events)
+        self.joined_at |= {event.proxy: now for event in joined}
         if joined:
             held = sum(not event.has_only_default_table for event in joined)
             log.info("proxies_joined", count=len(joined), with_tables=held)
         if left:
             log.info("proxies_left", count=left)
+        for event in events:
+            if isinstance(event, gp.ProxyLeft):
+                self.joined_at.pop(event.proxy, None)
 
     def log_probes(self, events):
         """Logs each change of a task's probe outcome."""
@@ -85,19 +90,43 @@
             log.info("probe_changed", task=event.task, outcome=event.outcome, former=former)
 
     def log_orders(self, now, orders):
-        """Logs withdrawals, the lines of cold tasks, and how many proxies were bound."""
-        bound = {}  # table -> number of proxies
+        """Logs withdrawals, the lines of cold tasks, and binds."""
         for order in orders:
             match order:
                 case gp.WithdrawTask(task=task, withdrawn=withdrawn):
                     log.info("task_withdrawn" if withdrawn else "task_readmitted", task=task)
-                case gp.SetWeight(table=table, task=task, weight=weight) if task in self.started_at:
-                    age = seconds(now - self.started_at[task])
-                    log.info("cold_line", task=task, table=table, weight=weight, age_s=age)
-                case gp.BindProxy(table=table):
-                    bound[table] = bound.get(table, 0) + 1
-        for table, count in bound.items():
-            log.info("proxies_bound", table=table, count=count)
+                case gp.SetWeight(task=task) if task in self.started_at:
+                    self.log_cold_line(now, order)
+        self.log_binds(now, [order for order in orders if isinstance(order, gp.BindProxy)])
+
+    def log_cold_line(self, now, order):
+        """Logs the line of a cold task with the bounds that it was held to, where there were any."""
+        fields = {}
+        if budget := self.brain.cold_tasks.budgets.get(order.task):
+            rate = self.brain.cold_tasks.own_rate(order.task)
+            fields = {
+                "share_bound": round(budget.by_share, 4),
+                "answer_bound": round(budget.by_answers, 4),
+                "answer_share": round(budget.answer_share, 4),
+                "own_tries": round(rate.tries, 1),
+                "own_answers": round(rate.answers, 1),
+            }
+        log.info(
+            "cold_line",
+            task=order.task,
+            table=order.table,
+            weight=order.weight,
+            age_s=seconds(now - self.started_at[order.task]),
+            **fields,
+        )
+
+    def log_binds(self, now, binds):
+        """Logs how many proxies were bound to each table, and how long after its join the slowest was."""
+        joined_at = {}  # table -> when its proxies joined; `now` for one that was bound before
+        for order in binds:
+            joined_at.setdefault(order.table, []).append(self.joined_at.pop(order.proxy, now))
+        for table, times in joined_at.items():
+            log.info("proxies_bound", table=table, count=len(times), waited_s=seconds(now - min(times)))
 
     def forget_warm(self, now):
         """Forgets the starts of tasks that are warm by now."""
@@ -119,5 +148,9 @@
             own_tasks=len(brain.own_tasks),
             joined=len(brain.proxies),
             unbound=len(brain.unbound_proxies),
+            holding_former_tables=sum(
+                not proxy.has_only_default_table and not proxy.bound
+                for proxy in brain.unbound_proxies.values()
+            ),
             queued_lines=round(brain.queue),
         )
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -5,6 +5,7 @@
 
 from garnetpaddle import interface as gp
 from garnetpaddle.brain import Brain
+from garnetpaddle.cold_tasks import ColdBudget
 from garnetpaddle.net.decision_log import STATUS_PERIOD, DecisionLog
 
 NOW = 1_000_000
@@ -50,10 +51,10 @@
 def test_membership_and_binds_are_counted_for_each_batch():
     joins = [gp.ProxyJoined(proxy, 20.0, proxy == 1, "z") for proxy in range(3)]
     binds = [gp.BindProxy(0, 1), gp.BindProxy(1, 1), gp.BindProxy(2, 2)]
-    assert logged(make_log(), (NOW, joins, binds), (NOW, [gp.ProxyLeft(1)], [])) == [
+    assert logged(make_log(), (NOW, joins, []), (NOW + 5_000, [], binds), (NOW, [gp.ProxyLeft(1)], [])) == [
         "3 2 proxies_joined",
-        "1 2 proxies_bound",
-        "2 1 proxies_bound",
+        "1 2 0.5 proxies_bound",
+        "2 1 0.5 proxies_bound",
         "1 proxies_left",
     ]
 
@@ -85,3 +86,13 @@
     assert log.started_at
     log.observe(NOW + PARAMETERS.warm_after + STATUS_PERIOD, [], [])
     assert not log.started_at
+
+
+def test_a_cold_line_tells_the_bounds_that_it_was_held_to():
+    log = make_log()
+    log.brain.cold_tasks.budgets["a"] = ColdBudget(0.12, 0.05, 0.9, 0.04)
+    log.brain.cold_tasks.record(NOW, gp.TaskReport("a", "z", 20, 5, 900.0, 10_000, {}))
+    started = gp.TaskListReceived("changes", (task_line("a", "ready", (NOW - 40_000) / 10_000),))
+    assert logged(log, (NOW, [started], [gp.SetWeight(1, "a", 0.4)]))[1:] == [
+        "a 1 0.4 4.0 0.12 0.05 0.04 20.0 15.0 cold_line"
+    ]
