Withdraw tasks that restarted amid an assigner's restart from holders of its old tables

What callers saw: a task that restarts while its assigner is down keeps the full line of its warm life at proxies that hold the former life's table, for up to 6 s. Cause: withdraw_departed spoke only of tasks that drain or are gone; a task that is listed ready with a newer start is neither. Those proxies count as knowing as soon as any message of the new life, such as another task's withdrawal, has reached them. Change: while tables of a former life are kept, cold tasks that started no earlier than 2 s before the first join are withdrawn like departed ones; earlier starts the former life has answered, so they stay. Tests: three of the new cases fail on the commit before (nothing is withdrawn), the fourth holds that earlier starts stay.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -35,6 +35,10 @@
 DEPARTED_LINE_TENTHS_MS = 600_000  # 60 s: how long an unreachable proxy may hold the line of a task that left
 # 6 s: how long proxies keep tables ordered before this start, which fit better than even shares
 INHERITED_TABLES_TENTHS_MS = 60_000
+# 2 s before the first proxy joins: a task that starts later, an earlier life may not have taken out of its
+# tables, as the start is told late and messages travel
+UNANSWERED_START_TENTHS_MS = 20_000
+
 # Shares: the calls that each task gets, as a ratio to the average; adjusted in steps, by its answers
 SMOOTHING_FACTOR = 0.4  # weight of the latest reading: readings are seconds apart and noisy
 MAX_SHARE_INCREASE_RATIO = 2.0  # per step
@@ -1087,7 +1091,7 @@
         return sent, changes
 
     def withdraw_departed(self, now, waiting, keeping, orders):
-        """Withdraws tasks that left from the proxies that wait, if these would be bound too late.
+        """Withdraws tasks that left or restarted from proxies that wait, if these would be bound too late.
 
         keeping: some of them keep tables ordered before this start on purpose. Returns whether all proxies
         must acknowledge.
@@ -1112,11 +1116,13 @@
         # withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
         withdrawn = self.withdrawn
         late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
+        candidates = [name for name in self.leaving if self.lines[name].state in uncallable_states]
+        if keeping:
+            candidates += self.recently_restarted(now)
         to_withdraw = [
             name
-            for name in sorted(self.leaving, key=self.changed_at.get)
+            for name in sorted(candidates, key=self.changed_at.get)
             if 0 < now - self.changed_at[name] < DEPARTED_LINE_TENTHS_MS
-            and self.lines[name].state in uncallable_states
             and not any(name in table.weights for table in self.tables)
             and (
                 not withdrawn.get(name)
@@ -1148,6 +1154,12 @@
         self.record_messages(now, 0, others if ask_all else [])
         return ask_all
 
+    def recently_restarted(self, now):
+        """Cold tasks whose start no earlier life of this assigner can have answered: proxies that hold tables
+        ordered by it call them by the lines that they had when they were warm."""
+        since = self.first_join_at - UNANSWERED_START_TENTHS_MS
+        return [task.id for task in self.ready() if not task.warm(now) and task.ramp_from >= since]
+
     def fitting_changes(self, now, changes, table):
         """How many of the sorted changes may be ordered now, by push interval, queue and message cap.
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -829,6 +829,34 @@
     assert entries.index("withdraw h") < entries.index("bind 1") < entries.index("let back h")
 
 
+@pytest.mark.parametrize(("proxies", "channel_lines"), [(2, 2_000.0), (150, 2_000.0), (240, 2_000.0)])
+def test_proxies_that_hold_a_former_lifes_table_lose_the_line_of_a_task_that_has_just_restarted(
+    proxies, channel_lines
+):
+    """They called it by its full line until they were bound, 6 s later."""
+    harness = BrainHarness(
+        "abcdefgh", 0, total=proxies, channel_lines=channel_lines, queue_limit=2 * channel_lines
+    )
+    harness.now, harness.next_report_at = 100_000, 110_000
+    harness.reported_sums = {}
+    harness.handle(list_changes(task_line("h", "ready", 9.0)))
+    harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(proxies)))
+    harness.trace.clear()
+    harness.advance(1)
+    assert [entry for line in harness.trace for entry in line[7:].split(", ")][:1] == ["withdraw h"]
+
+
+def test_cold_tasks_that_a_former_life_has_answered_stay_with_proxies_that_hold_its_tables():
+    """Their lines there are those of a younger task, and withdrawing them cost a fifth of the service."""
+    harness = BrainHarness("abcdefgh", 0)
+    harness.now = 200_000
+    harness.reported_sums = {}
+    harness.handle(list_changes(task_line("h", "ready", 12.0)))
+    harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)))
+    harness.advance(4)
+    assert not any("withdraw" in line for line in harness.trace)
+
+
 def test_unconfirmed_orders_are_sent_again():
     harness = BrainHarness(acknowledges=False)
     harness.lose_last_orders(perhaps=False)
