--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -1097,8 +1097,6 @@
         must acknowledge.
         """
         overhead = self.parameters.message_overhead_lines + 1
-        # The states in which no proxy may call a task any more; the tuple may hold "draining" twice.
-        uncallable_states = ("draining", "gone" if self.parameters.dropped_counts_as_gone else "draining")
         bind_lines = (
             statistics.fmean(len(t.weights) for t in self.tables) + len(self.parameters.routes) + 1 + overhead
         )
@@ -1112,23 +1110,7 @@
         room = int(
             (PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit - self.queue) / len(waiting) - overhead
         )
-        # Only tasks that have no line in any table and whose line was not removed just now: otherwise the
-        # withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
-        withdrawn = self.withdrawn
-        late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
-        candidates = [name for name in self.leaving if self.lines[name].state in uncallable_states]
-        if keeping:
-            candidates += self.recently_restarted(now)
-        to_withdraw = [
-            name
-            for name in sorted(candidates, key=self.changed_at.get)
-            if 0 < now - self.changed_at[name] < DEPARTED_LINE_TENTHS_MS
-            and not any(name in table.weights for table in self.tables)
-            and (
-                not withdrawn.get(name)
-                or any(withdrawn[name] < proxy.joined_at <= late_before for proxy in waiting)
-            )
-        ]
+        to_withdraw = self.tasks_to_withdraw(now, waiting, keeping)
         # If there is not enough room for all, those that left first
         to_withdraw = (
             to_withdraw if room >= len(to_withdraw) else to_withdraw[: max(room, 0)] * (room >= overhead)
@@ -1136,7 +1118,7 @@
         if not to_withdraw or not keeping and len(to_withdraw) + overhead > bind_lines:
             return False  # where it costs more than the binds it would only delay them
         orders += [gp.WithdrawTask(name, True) for name in to_withdraw]
-        withdrawn |= dict.fromkeys(to_withdraw, max(now, 1))
+        self.withdrawn |= dict.fromkeys(to_withdraw, max(now, 1))
         self.shortest_message = min(
             self.shortest_message, overhead, self.record_messages(now, len(to_withdraw), waiting)
         )
@@ -1154,6 +1136,30 @@
         self.record_messages(now, 0, others if ask_all else [])
         return ask_all
 
+    def tasks_to_withdraw(self, now, waiting, keeping):
+        """The names of tasks that the waiting proxies must not call, the earliest first.
+
+        Only tasks that have no line in any table and whose line was not removed just now: otherwise the
+        withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
+        """
+        # The states in which no proxy may call a task any more; the tuple may hold "draining" twice.
+        uncallable_states = ("draining", "gone" if self.parameters.dropped_counts_as_gone else "draining")
+        candidates = [name for name in self.leaving if self.lines[name].state in uncallable_states]
+        if keeping:
+            candidates += self.recently_restarted(now)
+        late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
+        withdrawn = self.withdrawn
+        return [
+            name
+            for name in sorted(candidates, key=self.changed_at.get)
+            if 0 < now - self.changed_at[name] < DEPARTED_LINE_TENTHS_MS
+            and not any(name in table.weights for table in self.tables)
+            and (
+                not withdrawn.get(name)
+                or any(withdrawn[name] < proxy.joined_at <= late_before for proxy in waiting)
+            )
+        ]
+
     def recently_restarted(self, now):
         """Cold tasks whose start no earlier life of this assigner can have answered: proxies that hold tables
         ordered by it call them by the lines that they had when they were warm."""
