Withdraw restarted tasks from holders of old tables only while they are few

Need: the withdrawal of restarted tasks could take every line of a proxy whose table held only these, for up to 6 s: nobody without a task goes before. Cause: unlike a drain, which has to be kept, this withdrawal is a choice. Change: none where restarted tasks are over a quarter of the ready ones.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -38,6 +38,7 @@
 # 2 s before the first proxy joins: a task that starts later, an earlier life may not have taken out of its
 # tables, as the start is told late and messages travel
 UNANSWERED_START_TENTHS_MS = 20_000
+MAX_WITHDRAWN_COLD_SHARE = 0.25  # of the ready tasks: a proxy whose table holds no others must keep its lines
 
 # Shares: the calls that each task gets, as a ratio to the average; adjusted in steps, by its answers
 SMOOTHING_FACTOR = 0.4  # weight of the latest reading: readings are seconds apart and noisy
@@ -1162,9 +1163,10 @@
 
     def recently_restarted(self, now):
         """Cold tasks whose start no earlier life of this assigner can have answered: proxies that hold tables
-        ordered by it call them by the lines that they had when they were warm."""
-        since = self.first_join_at - UNANSWERED_START_TENTHS_MS
-        return [task.id for task in self.ready() if not task.warm(now) and task.ramp_from >= since]
+        ordered by it call them by the lines that they had when they were warm. None if they are many."""
+        since, ready = self.first_join_at - UNANSWERED_START_TENTHS_MS, self.ready()
+        restarted = [task.id for task in ready if not task.warm(now) and task.ramp_from >= since]
+        return restarted if len(restarted) <= MAX_WITHDRAWN_COLD_SHARE * len(ready) else []
 
     def fitting_changes(self, now, changes, table):
         """How many of the sorted changes may be ordered now, by push interval, queue and message cap.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -857,6 +857,17 @@
     assert not any("withdraw" in line for line in harness.trace)
 
 
+def test_a_restart_of_many_tasks_leaves_their_lines_to_proxies_that_may_hold_no_others():
+    """A proxy whose table held only these would have nobody to call until it was bound, 6 s later."""
+    harness = BrainHarness("abcdefgh", 0)
+    harness.now = 100_000
+    harness.reported_sums = {}
+    harness.handle(list_changes(*(task_line(task, "ready", 9.5) for task in "fgh")))
+    harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)))
+    harness.advance(4)
+    assert not any("withdraw" in line for line in harness.trace)
+
+
 def test_unconfirmed_orders_are_sent_again():
     harness = BrainHarness(acknowledges=False)
     harness.lose_last_orders(perhaps=False)
