Withdrawals of restarted tasks share the messages of drains, so that they delay no binds

What callers would have seen: drains kept too late by an assigner that restarts with many proxies. Change: a restarted task is withdrawn in the message of a departed one, or once alone while no more than 1.5 s of the channel would wait; departed ones go first where not all fit.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -1138,21 +1138,30 @@
         return ask_all
 
     def tasks_to_withdraw(self, now, waiting, keeping):
-        """The names of tasks that the waiting proxies must not call, the earliest first.
+        """The names of tasks that the waiting proxies must not call, departed ones before restarted ones.
 
         Only tasks that have no line in any table and whose line was not removed just now: otherwise the
         withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
         """
         # The states in which no proxy may call a task any more; the tuple may hold "draining" twice.
         uncallable_states = ("draining", "gone" if self.parameters.dropped_counts_as_gone else "draining")
-        candidates = [name for name in self.leaving if self.lines[name].state in uncallable_states]
-        if keeping:
-            candidates += self.recently_restarted(now)
+        departed = [name for name in self.leaving if self.lines[name].state in uncallable_states]
+        to_withdraw = self.without_line(now, departed, waiting)
+        restarted = self.without_line(now, self.recently_restarted(now), waiting) if keeping else []
+        if not to_withdraw:  # alone, restarted tasks may hardly delay binds
+            lines = len(waiting) * (self.parameters.message_overhead_lines + 2)
+            channel_idle = self.queue + lines <= PUSH_START_QUEUE_S[1] * self.parameters.channel_lines
+            restarted = [name for name in restarted if channel_idle and not self.withdrawn.get(name)]
+        since = self.changed_at.get
+        return [*sorted(to_withdraw, key=since), *sorted(restarted, key=since)]
+
+    def without_line(self, now, names, waiting):
+        """Those of the tasks that have no line in any table any more and are to be withdrawn, or again."""
         late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
         withdrawn = self.withdrawn
         return [
             name
-            for name in sorted(candidates, key=self.changed_at.get)
+            for name in names
             if 0 < now - self.changed_at[name] < DEPARTED_LINE_TENTHS_MS
             and not any(name in table.weights for table in self.tables)
             and (
