Reckon the room for chance by the calls of one part of the fleet where there are parts

Checked so far: with five assigners that each order a fifth of the tasks, the calls that a cold task bears were reckoned as five times those reported here, as if all proxies called it, so its room for chance was taken five times too wide. Change: the ratio counts the own part's share of the ready tasks. Measured: the new test fails before (a mean at which chance exceeds the calls borne in 12 of 100 windows, bound 1) and passes now; test_brain passes.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -481,7 +481,9 @@
             self.usual_in_flight *= 1 + SMOOTHING_FACTOR * (
                 max(self.backlog() * BACKLOG_RATIO, 1 / self.usual_in_flight) - 1
             )
-        fleet_ratio = max(self.parameters.proxies / max(len(self.channel_proxies), 1), 1)
+        # Proxies of assigners that order another part of the fleet do not call the tasks of this one.
+        proxies_ratio = self.parameters.proxies / max(len(self.channel_proxies), 1)
+        fleet_ratio = max(proxies_ratio * len(self.own_tasks) / max(len(self.ready()), 1), 1)
         self.cold_tasks.update_warm_answers(
             now, self.own_tasks, REPORT_VALID_ROUNDS * self.report_round, fleet_ratio
         )
--- a/garnetpaddle/cold_tasks.py
+++ b/garnetpaddle/cold_tasks.py
@@ -58,7 +58,7 @@
         self.call_rates = CallRates(smoothing_factor)
         self.warm_answers = {}  # kind -> what a warm task of this kind answers, per second, as reported here
         self.total_tries = 0.0  # per second at all tasks, as reported here
-        self.fleet_ratio = 1.0  # all proxies, as a ratio to those that report here
+        self.fleet_ratio = 1.0  # the calls of all proxies to a task, as a ratio to those reported here
         self.budgets = {}  # cold task -> the ColdBudget of its latest line beside warm ones
 
     def record(self, now, report):
@@ -78,7 +78,7 @@
         """Updates what a warm task of each kind answers, from the rates reported within `valid_for`.
 
         Warm tasks without a rate, as soon after a start, are taken to get as many tries as the others.
-        fleet_ratio: all proxies, as a ratio to those that report here."""
+        fleet_ratio: the calls of all proxies to a task, as a ratio to those reported here."""
         rates = self.call_rates
         rates.forget_until(now - valid_for)
         warm = [task for task in own_tasks if task.warm(now) and not task.ejected]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -815,6 +815,23 @@
     assert any(lines)
 
 
+def test_room_for_chance_counts_the_calls_of_the_assigners_that_have_the_task_in_their_part():
+    """Reckoned with the calls of all proxies, five times as many as came, chance seemed small."""
+    names, answers_a_second, age_s = [f"t{n:02}" for n in range(36)], 4, 8
+    harness = BrainHarness(names, 5, total=25, queue_limit=160.0, assigners=5)
+    own = [task.id for task in harness.brain.own_tasks]
+    assert len(own) == 8
+    harness.reported_sums = dict.fromkeys(own, (answers_a_second, 0, 200))
+    harness.advance(6)
+    harness.handle(list_changes(task_line(own[0], started=6)))
+    harness.advance(age_s)
+    parameters, window = harness.parameters, 3
+    ramp = parameters.start_share + (1 - parameters.start_share) * age_s * 10_000 / parameters.warm_after
+    borne = window * parameters.fall_multiple * ramp * answers_a_second
+    sent = window * cold_calls(harness, own[0], len(own) * answers_a_second)
+    assert 0 < sent < borne and math.exp(-((math.sqrt(borne) - math.sqrt(sent)) ** 2)) < 0.01
+
+
 def test_a_withdrawn_task_that_comes_back_cold_is_not_let_back_at_proxies_that_hold_old_tables():
     """The first cold line here let them call it again, by the full line that it had when it was warm."""
     harness = BrainHarness("abcdefgh", 0)
