Let a cold task's calls grow by its own answers, from what it bears at its slowest

Cause: the line of a cold task was open loop. It grew with the task's age, by what the list and machine types tell, to 1.8 times what was assumed; the task's own answers were logged and decided nothing.

The former bounds hold as well. A new life knows no answers and so begins at the tenth. cold_line logs what was proven and why.

Seven of the nine new cases in tests/test_brain.py fail without the change. Premises changed, checks not: three tests now give reports of the cold task, as no line grows without; traces anew.

--- a/garnetpaddle/cold_tasks.py
+++ b/garnetpaddle/cold_tasks.py
@@ -5,7 +5,9 @@
 its part of the calls, by the shares that the ordinary tables follow, and what warm tasks of its kind are seen
 to answer, a lower bound of what they can do. Machines of one kind differ: the second bound is reduced by the
 machine's strength, its share of the calls relative to its kind's when it was last seen warm. Both leave room
-for chance, more where a window holds few calls. All times are tenths of a ms.
+for chance, more where a window holds few calls. Both also take the task to be as well as others: until its
+own answers prove that (`slow_start`), it gets no more than it bears at the worst slowness that is reckoned
+with. All times are tenths of a ms.
 """
 
 import math
@@ -13,12 +15,15 @@
 from dataclasses import dataclass
 
 from garnetpaddle.call_rates import CallRate, CallRates
+from garnetpaddle.slow_start import SlowStart
 
 TENTHS_OF_MS_PER_SECOND = 10_000
 COLD_CAPACITY_SHARE = 0.6  # of what a cold task can take, at most: the rest is for bursts
 # Between a window's mean calls and the calls that a task bears in it. The work of calls that arrive by chance
 # exceeds a limit with a probability of some exp(-(sqrt(limit) - sqrt(mean)) ** 2).
 CHANCE_MARGIN_ROOT_CALLS = 2.2
+# How many times slower than at its age a task may be, by a fault or as others take a part of its machine
+WORST_SLOWDOWN = 10.0
 UNSEEN_STRENGTH = 0.85  # of its kind: a machine that has hardly been seen warm may be a weak one
 MIN_WARM_ADJUSTMENTS = 3  # of a task's share while it is warm, until it shows the machine's strength
 # Without a warm task, cold tasks get lines if their summed capacity is at least this share of the table's
@@ -37,12 +42,14 @@
 class ColdBudget:
     """What a cold task may get, as shares of a table's calls: the smaller of the two bounds.
 
-    capacity: what it may get by its age, in units of what it answers when warm; answer_share: what it is
-    taken to answer when warm, as a share of all tries."""
+    capacity: what it may get by its age and by its own answers, in units of what it answers when warm;
+    proven: the second of these alone; answer_share: what it is taken to answer when warm, as a share of all
+    tries."""
 
     by_share: float
     by_answers: float
     capacity: float
+    proven: float
     answer_share: float
 
     def call_share(self):
@@ -56,6 +63,7 @@
     def __init__(self, parameters, smoothing_factor):
         self.parameters = parameters
         self.call_rates = CallRates(smoothing_factor)
+        self.slow_start = SlowStart(parameters.overload_window)
         self.warm_answers = {}  # kind -> what a warm task of this kind answers, per second, as reported here
         self.total_tries = 0.0  # per second at all tasks, as reported here
         self.fleet_ratio = 1.0  # the calls of all proxies to a task, as a ratio to those reported here
@@ -64,10 +72,12 @@
     def record(self, now, report):
         """Takes over a TaskReport; its span must be above 0."""
         self.call_rates.record(now, report)
+        self.slow_start.record(now, report)
 
     def forget(self, task):
         """Forgets the reports of a task that has restarted or left."""
         self.call_rates.forget_task(task)
+        self.slow_start.forget(task)
         self.budgets.pop(task, None)
 
     def own_rate(self, task):
@@ -87,6 +97,7 @@
         self.warm_answers = {}
         if not reported:
             return
+        self.slow_start.update_idle_latency(reported)
         mean_tries = statistics.fmean(rate.tries for rate in reported.values())
         self.total_tries = rates.total_tries() + mean_tries * (len(warm) - len(reported))
         answers = {}  # kind -> answers per second of its tasks
@@ -104,14 +115,17 @@
         """As answers_when_warm, as a share of all tries."""
         return self.answers_when_warm(task) / self.total_tries if self.total_tries else 0.0
 
+    def capacity_fraction(self, now, task):
+        """The least that a cold task does at its age, as a share of what it does when warm."""
+        start = self.parameters.start_share
+        age = now - task.ramp_from
+        return start + (1 - start) * min(age / max(task.ramp_time, 1), 1)
+
     def multiple_borne(self, now, task):
         """What a cold task bears at its age, in units of what it answers when warm; 0 while too young."""
-        age = now - task.ramp_from
-        if age < COLD_START_DELAY_PERIODS * self.parameters.report_period:
+        if now - task.ramp_from < COLD_START_DELAY_PERIODS * self.parameters.report_period:
             return 0.0
-        start = self.parameters.start_share
-        ramp = start + (1 - start) * min(age / max(task.ramp_time, 1), 1)
-        return self.parameters.fall_multiple * ramp
+        return self.parameters.fall_multiple * self.capacity_fraction(now, task)
 
     def capacity(self, now, task):
         """What a cold task may get beside warm ones, in units of what it answers when warm."""
@@ -120,6 +134,17 @@
         answers = task.strength * self.answers_when_warm(task) * self.fleet_ratio
         return min(COLD_CAPACITY_SHARE, share_before_chance(window * multiple * answers)) * multiple
 
+    def proven_capacity(self, now, task):
+        """What a cold task's own answers allow it to get, in units of what it answers when warm.
+
+        At least what it bears if it is as slow as is reckoned with: calls enough to be seen by."""
+        unproven = self.multiple_borne(now, task) / WORST_SLOWDOWN
+        warm_rate = task.strength * self.answers_when_warm(task)
+        if not warm_rate:
+            return unproven
+        rate = self.slow_start.proven_rate(now, task, self.capacity_fraction(now, task))
+        return max(rate / warm_rate, unproven)
+
     def call_shares(self, now, shares, table_calls, table_share):
         """Task name -> the share of a table's calls that a cold task may get beside warm ones.
 
@@ -127,12 +152,13 @@
         average task's; table_share: the table's part of all calls."""
         budgets = {}
         for task, share in shares.items():
-            capacity = self.capacity(now, task)
+            proven = self.proven_capacity(now, task)
+            capacity = min(self.capacity(now, task), proven)
             answer_share = task.strength * self.answer_share(task)
             own_share = min(share, task.learned_share) if task.warm_adjustments else share
             by_share = own_share * min(capacity, 1.0) / table_calls
             by_answers = capacity * answer_share / table_share
-            budgets[task.id] = ColdBudget(by_share, by_answers, capacity, answer_share)
+            budgets[task.id] = ColdBudget(by_share, by_answers, capacity, proven, answer_share)
         self.budgets |= budgets
         return {name: budget.call_share() for name, budget in budgets.items()}
 
--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -104,7 +104,13 @@
         fields = {}
         if budget := self.brain.cold_tasks.budgets.get(order.task):
             rate = self.brain.cold_tasks.own_rate(order.task)
+            recent = self.brain.cold_tasks.slow_start.recent(now, order.task)
+            latency = seconds(recent.latency_sum / recent.count) if recent.count else None
             fields = {
+                "capacity": round(budget.capacity, 3),
+                "proven": round(budget.proven, 3),
+                "recent_answers": recent.count,
+                "recent_latency_s": latency,
                 "share_bound": round(budget.by_share, 4),
                 "answer_bound": round(budget.by_answers, 4),
                 "answer_share": round(budget.answer_share, 4),
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -685,6 +685,7 @@
     harness = BrainHarness(tasks="abcdefgh")
     harness.advance(1)
     harness.handle(list_changes(task_line("i", started=1)))
+    harness.reported_sums["i"] = (10, 0, 200)
     harness.advance(6)
     harness.handle(list_changes(*(task_line(t, "draining") for t in "abcdef")))
     harness.advance(0.4)
@@ -735,7 +736,7 @@
     harness = BrainHarness(tasks="abcdefgh", proxies=10, queue_limit=200.0, channel_lines=150.0)
     harness.advance(2)
     harness.handle(list_changes(task_line("i", started=1.9)))
-    harness.reported_sums |= {t: (30, 0, 50) for t in "abcd"}
+    harness.reported_sums |= {t: (30, 0, 50) for t in "abcdi"}
     harness.advance(8)
     harness.assert_trace_matches("cold_weights_grow_last")
 
@@ -764,6 +765,7 @@
     harness.reported_sums = dict.fromkeys("abcdefgh", (400, 0, 200))
     harness.advance(1)
     harness.handle(list_changes(task_line("x", started=1)))
+    harness.reported_sums["x"] = (400, 0, 200)
     harness.advance(9)
     assert table_weights(harness.brain)["x"] > 0.5
     harness.brain.tasks["x"].readmit(3.0)
@@ -815,6 +817,65 @@
     assert any(lines)
 
 
+def advance_with_cold_reports(harness, seconds, sums):
+    """Advances with reports of a cold task "h"; returns its calls a second at the end."""
+    harness.reported_sums.pop("h", None)
+    harness.reported_sums |= {"h": sums} if sums else {}
+    harness.advance(seconds)
+    return cold_calls(harness, "h", 8 * 40)
+
+
+@pytest.mark.parametrize("sums", [None, (2, 2, 0), (2, 0, 2_500)], ids=["silent", "fails", "slow"])
+def test_a_cold_line_does_not_grow_beyond_what_a_slow_machine_bears_without_good_answers(sums):
+    """It grew by the task's age alone, to several times what a task that is slow at present can do."""
+    harness = BrainHarness("abcdefgh")
+    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
+    harness.advance(20)
+    harness.handle(list_changes(task_line("h", started=20)))
+    parameters, lines = harness.parameters, []
+    for age in range(1, 15):
+        calls = advance_with_cold_reports(harness, 1, sums)
+        ramp = parameters.start_share + (1 - parameters.start_share) * age * 10_000 / parameters.warm_after
+        assert calls <= parameters.fall_multiple * 40 * ramp / 10 + 0.01, (
+            f"{age} s old, a tenth of full speed"
+        )
+        lines.append(calls)
+    assert any(lines)
+
+
+def test_a_cold_line_grows_with_the_calls_that_the_task_answers():
+    harness = BrainHarness("abcdefgh")
+    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
+    harness.advance(20)
+    harness.handle(list_changes(task_line("h", started=20)))
+    first = advance_with_cold_reports(harness, 4, None)
+    grown = advance_with_cold_reports(harness, 5, (12, 0, 200))
+    assert 1.5 * first < grown <= 2.2 * 12
+
+
+@pytest.mark.parametrize("sums", [None, (24, 24, 0), (3, 0, 2_500)], ids=["silent", "fails", "slow"])
+def test_a_cold_line_falls_back_once_its_task_no_longer_answers_in_time(sums):
+    """A task that turned slow amid its warm-up kept a line that grew on by its age."""
+    harness = BrainHarness("abcdefgh")
+    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
+    harness.advance(20)
+    harness.handle(list_changes(task_line("h", started=20)))
+    grown = advance_with_cold_reports(harness, 8, (24, 0, 200))
+    assert advance_with_cold_reports(harness, 4, sums) < grown / 2
+
+
+def test_a_new_life_trusts_no_cold_task_that_it_has_not_heard_answer():
+    """Its first lines of cold tasks were those of an assigner that had watched them answer."""
+    harness = BrainHarness("abcdefgh", 0)
+    harness.reported_sums = dict.fromkeys("abcdefg", (40, 0, 200))
+    harness.now, harness.next_report_at = 200_000, 210_000
+    harness.handle(list_changes(task_line("h", started=10)))
+    harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)))
+    harness.advance(3)
+    ramp = harness.parameters.start_share + (1 - harness.parameters.start_share) * 13 / 15
+    assert 0 < cold_calls(harness, "h", 7 * 40) <= harness.parameters.fall_multiple * 40 * ramp / 10
+
+
 def test_room_for_chance_counts_the_calls_of_the_assigners_that_have_the_task_in_their_part():
     """Reckoned with the calls of all proxies, five times as many as came, chance seemed small."""
     names, answers_a_second, age_s = [f"t{n:02}" for n in range(36)], 4, 8
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -90,9 +90,9 @@
 
 def test_a_cold_line_tells_the_bounds_that_it_was_held_to():
     log = make_log()
-    log.brain.cold_tasks.budgets["a"] = ColdBudget(0.12, 0.05, 0.9, 0.04)
+    log.brain.cold_tasks.budgets["a"] = ColdBudget(0.12, 0.05, 0.9, 1.4, 0.04)
     log.brain.cold_tasks.record(NOW, gp.TaskReport("a", "z", 20, 5, 900.0, 10_000, {}))
     started = gp.TaskListReceived("changes", (task_line("a", "ready", (NOW - 40_000) / 10_000),))
     assert logged(log, (NOW, [started], [gp.SetWeight(1, "a", 0.4)]))[1:] == [
-        "a 1 0.4 4.0 0.12 0.05 0.04 20.0 15.0 cold_line"
+        "a 1 0.4 4.0 0.9 1.4 15 0.09 0.12 0.05 0.04 20.0 15.0 cold_line"
     ]
