--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -817,6 +817,15 @@
     assert any(lines)
 
 
+def harness_with_a_cold_task():
+    """Eight tasks that answer 40 calls a second each, of which "h" has just restarted."""
+    harness = BrainHarness("abcdefgh")
+    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
+    harness.advance(20)
+    harness.handle(list_changes(task_line("h", started=20)))
+    return harness
+
+
 def advance_with_cold_reports(harness, seconds, sums):
     """Advances with reports of a cold task "h"; returns its calls a second at the end."""
     harness.reported_sums.pop("h", None)
@@ -828,10 +837,7 @@
 @pytest.mark.parametrize("sums", [None, (2, 2, 0), (2, 0, 2_500)], ids=["silent", "fails", "slow"])
 def test_a_cold_line_does_not_grow_beyond_what_a_slow_machine_bears_without_good_answers(sums):
     """It grew by the task's age alone, to several times what a task that is slow at present can do."""
-    harness = BrainHarness("abcdefgh")
-    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
-    harness.advance(20)
-    harness.handle(list_changes(task_line("h", started=20)))
+    harness = harness_with_a_cold_task()
     parameters, lines = harness.parameters, []
     for age in range(1, 15):
         calls = advance_with_cold_reports(harness, 1, sums)
@@ -844,10 +850,7 @@
 
 
 def test_a_cold_line_grows_with_the_calls_that_the_task_answers():
-    harness = BrainHarness("abcdefgh")
-    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
-    harness.advance(20)
-    harness.handle(list_changes(task_line("h", started=20)))
+    harness = harness_with_a_cold_task()
     first = advance_with_cold_reports(harness, 4, None)
     grown = advance_with_cold_reports(harness, 5, (12, 0, 200))
     assert 1.5 * first < grown <= 2.2 * 12
@@ -856,10 +859,7 @@
 @pytest.mark.parametrize("sums", [None, (24, 24, 0), (3, 0, 2_500)], ids=["silent", "fails", "slow"])
 def test_a_cold_line_falls_back_once_its_task_no_longer_answers_in_time(sums):
     """A task that turned slow amid its warm-up kept a line that grew on by its age."""
-    harness = BrainHarness("abcdefgh")
-    harness.reported_sums = dict.fromkeys("abcdefgh", (40, 0, 200))
-    harness.advance(20)
-    harness.handle(list_changes(task_line("h", started=20)))
+    harness = harness_with_a_cold_task()
     grown = advance_with_cold_reports(harness, 8, (24, 0, 200))
     assert advance_with_cold_reports(harness, 4, sums) < grown / 2
 
