--- a/benchmarks/faults/peer_servers.py
+++ b/benchmarks/faults/peer_servers.py
@@ -8,16 +8,24 @@
 from benchmarks.scaling.traffic import LinkCounter
 
 QUERY_PARAMETER = re.compile(r"(\w+)=(\d+)")
-TASK_PORT = 7_000  # below the ports that the kernel gives to outgoing connections
+# Ports below those that the kernel gives to outgoing connections: one of these would keep a process that
+# starts again from listening.
+TASK_PORT, ASSIGNER_PORT = 7_000, 6_000
+FIRST_ASSIGNER_HOST = 200  # tasks have the numbers below
 EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def loopback_host(number):
-    """A loopback address for a task of this run: each process that plays a day has some of its own."""
+    """A loopback address for this run: each process that plays a day has some of its own."""
     process = os.getpid()
     return f"127.{1 + process // 250 % 250}.{1 + process % 250}.{1 + number}"
 
 
+def assigner_address(rank):
+    """The address at which an assigner of this run listens in all of its lives, as (host, port)."""
+    return loopback_host(FIRST_ASSIGNER_HOST + rank), ASSIGNER_PORT
+
+
 def format_event(kind, fields):
     """An event of the relay's stream."""
     return f"event: {kind}\ndata: {fields}\n\n".encode()
--- a/benchmarks/faults/process_link.py
+++ b/benchmarks/faults/process_link.py
@@ -15,9 +15,15 @@
 from benchmarks.faults import settings
 from benchmarks.faults.fleet import AssignerLink, FleetModel
 from benchmarks.faults.judge import Violation
-from benchmarks.faults.peer_servers import AgentProtocol, RelayProtocol, TaskPorts, format_event
+from benchmarks.faults.peer_servers import (
+    AgentProtocol,
+    RelayProtocol,
+    TaskPorts,
+    assigner_address,
+    format_event,
+)
 from benchmarks.scaling import http_server
-from benchmarks.scaling.assigner_process import ROOT, SERVE_COMMAND, free_port
+from benchmarks.scaling.assigner_process import ROOT, SERVE_COMMAND
 from benchmarks.scaling.traffic import LinkCounter
 from garnetpaddle import interface as gp
 
@@ -78,7 +84,7 @@
     def __init__(self, fleet, rank, environment):
         super().__init__(fleet, rank)
         self.environment, self.process, self.output = environment, None, None
-        self.listen_port = free_port()
+        self.address = assigner_address(rank)
         self.streams, self.collectors, self.background = [], {}, set()
         self.generation, self.changes, self.watches = 1, [], []
         self.usage = LinkUsage()
@@ -102,9 +108,10 @@
 
     def configuration(self):
         """The content of the file that ROUTER_CONFIG names."""
+        host, port = self.address
         return {
             "name": f"n{self.rank + 1}",
-            "listen": f"127.0.0.1:{self.listen_port}",
+            "listen": f"{host}:{port}",
             "discovery": f"127.0.0.1:{self.agent_port}",
             "seed": f"{self.fleet.day.seed * 1_000 + self.rank * 100 + self.life:016x}",
             "limits": {"sockets": SOCKETS},
@@ -131,7 +138,7 @@
         """Waits for the first answer to a heartbeat, then connects the collectors."""
         while time.monotonic() < started_at + START_LIMIT_S and process.poll() is None:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
+                reader, writer = await asyncio.open_connection(*self.address)
                 writer.write(b"hb\r\n")
                 answer = await reader.readline()
                 writer.close()
@@ -149,13 +156,13 @@
         if self.environment.crowd:
             self.run_in_background(self.send_crowd(process))
         for zone in days.ZONES:
-            _, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
+            _, writer = await asyncio.open_connection(*self.address)
             writer.write(f"telemetry site={zone}\r\n".encode())
             self.collectors[zone] = writer
 
     async def send_heartbeats(self, process):
         """Sends heartbeats on one connection until the process is stopped; each has to be answered."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
+        reader, writer = await asyncio.open_connection(*self.address)
         with contextlib.suppress(OSError):
             while process is self.process:
                 sent_at = time.monotonic()
@@ -178,7 +185,7 @@
         while process is self.process:
             with contextlib.suppress(OSError):
                 for text in texts:
-                    _, writer = await asyncio.open_connection("127.0.0.1", self.listen_port)
+                    _, writer = await asyncio.open_connection(*self.address)
                     writer.write(text)
                     writers.append(writer)
             while len(writers) > MAX_CROWD:
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -1,10 +1,11 @@
 """Days of fault injection with three assigners: in process on a virtual clock, and as processes."""
 
 import asyncio
+import pathlib
 
 import pytest
 
-from benchmarks.faults import brain_link, process_link
+from benchmarks.faults import brain_link, peer_servers, process_link
 from benchmarks.faults import day as days
 from benchmarks.soak import ASSIGNERS, SPEED_VARIATION
 
@@ -50,6 +51,14 @@
     assert not any(broken.values()), broken
 
 
+def test_no_outgoing_connection_can_take_the_address_of_an_assigner_that_starts_again():
+    """It listened at a port that the kernel may give to any connection while the assigner is down."""
+    lowest = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    addresses = [peer_servers.assigner_address(rank) for rank in range(3)]
+    addresses += [(peer_servers.loopback_host(number), peer_servers.TASK_PORT) for number in range(30)]
+    assert len(set(addresses)) == 33 and all(port < lowest for _, port in addresses)
+
+
 def test_processes_keep_the_rules_amid_signals_deaths_a_release_and_a_crowd(tmp_path):
     """Also: each heartbeat on a connection that is open until the signal is answered; SIGTERM ends with 0."""
     day = days.excerpt(days.draw_day(6, 0.6, tasks_restart_with_assigner=True), 16.0, 18.0)
