--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -767,7 +767,7 @@
     harness.handle(list_changes(task_line("x", started=1)))
     harness.reported_sums["x"] = (400, 0, 200)
     harness.advance(9)
-    assert table_weights(harness.brain)["x"] > 0.5
+    assert table_weights(harness.brain)["x"] > 0.8
     harness.brain.tasks["x"].readmit(3.0)
     harness.advance(0.5)
     assert 0 < table_weights(harness.brain)["x"] <= 0.25
