Log a cold task that stops answering with the lines that it had, and sum them up in the status

Change: cold_task_lost, once a task's probes or tries fail twice in a row while it is cold: age, when its start was heard, each line of the last 6 s (weight, table, the rule that allowed it), how long the line of its former life stayed, proxies bound, waiting and holding tables of another life, tries and failures. status tells how many there were and the last one, so that the tail of a log holds it whenever it happened. cold_line tells the rule (basis).

--- a/garnetpaddle/cold_tasks.py
+++ b/garnetpaddle/cold_tasks.py
@@ -51,13 +51,14 @@
 
     capacity: what it may get by its age, by its own answers and by the need for it, in units of what it
     answers when warm; proven: the last two of these; answer_share: what it is taken to answer when warm, as
-    a share of all tries."""
+    a share of all tries; basis: why it may get any."""
 
     by_share: float
     by_answers: float
     capacity: float
     proven: float
     answer_share: float
+    basis: str
 
     def call_share(self):
         """The share of the table's calls that the task may get."""
@@ -162,7 +163,7 @@
         shares: cold task -> its share, the average being 1; warm_share: the sum of the warm tasks' shares;
         table_calls: the table's calls in units of an average task's; table_share: its part of all calls."""
         needed = warm_share < MIN_WARM_SHARE * table_calls
-        budgets = {}
+        basis, budgets = "needed" if needed else "beside warm", {}
         for task, share in shares.items():
             proven = self.proven_capacity(now, task) if needed else self.certain_capacity(now, task)
             capacity = min(self.capacity(now, task), proven)
@@ -170,7 +171,7 @@
             own_share = min(share, task.learned_share) if task.warm_adjustments else share
             by_share = own_share * min(capacity, 1.0) / table_calls
             by_answers = capacity * answer_share / table_share
-            budgets[task.id] = ColdBudget(by_share, by_answers, capacity, proven, answer_share)
+            budgets[task.id] = ColdBudget(by_share, by_answers, capacity, proven, answer_share, basis)
         self.budgets |= budgets
         return {name: budget.call_share() for name, budget in budgets.items()}
 
@@ -180,7 +181,10 @@
         total = sum(share * capacity[task] for task, share in shares.items())
         if total < COLD_ONLY_CAPACITY_SHARE * table_calls:
             return {}
-        return {task.id: share * min(capacity[task], 1.0) / table_calls for task, share in shares.items()}
+        for task, share in shares.items():
+            by_share = share * min(capacity[task], 1.0) / table_calls
+            self.budgets[task.id] = ColdBudget(by_share, math.inf, capacity[task], math.inf, 0.0, "alone")
+        return {task.id: self.budgets[task.id].call_share() for task in shares}
 
 
 def share_before_chance(calls_borne):
--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -3,17 +3,12 @@
 import structlog
 
 from garnetpaddle import interface as gp
+from garnetpaddle.net.cold_task_log import ColdTaskLog, seconds
 
 STATUS_PERIOD = 50_000  # tenths of a ms: 5 s between status lines
-TENTHS_OF_MS_PER_SECOND = 10_000
 log = structlog.get_logger()
 
 
-def seconds(tenths_of_ms):
-    """Seconds for the log."""
-    return round(tenths_of_ms / TENTHS_OF_MS_PER_SECOND, 2)
-
-
 class DecisionLog:
     """Observes the batches of a decision loop.
 
@@ -25,6 +20,7 @@
         self.joined_at = {}  # proxy -> when it joined, until it is bound
         self.failing_probes = {}  # task -> the outcome of its last probe, unless that was "ok"
         self.next_status_at = 0
+        self.cold_task_log = ColdTaskLog(brain, warm_after)
 
     def observe(self, now, events, orders):
         """Logs a batch: its events, then the orders given for them."""
@@ -32,6 +28,7 @@
         self.log_membership(now, events)
         self.log_probes(events)
         self.log_orders(now, orders)
+        self.cold_task_log.observe(now, events, orders)
         if now >= self.next_status_at:
             self.next_status_at = now + STATUS_PERIOD
             self.forget_warm(now)
@@ -114,6 +111,7 @@
                 "share_bound": round(budget.by_share, 4),
                 "answer_bound": round(budget.by_answers, 4),
                 "answer_share": round(budget.answer_share, 4),
+                "basis": budget.basis,
                 "own_tries": round(rate.tries, 1),
                 "own_answers": round(rate.answers, 1),
             }
@@ -159,4 +157,5 @@
                 for proxy in brain.unbound_proxies.values()
             ),
             queued_lines=round(brain.queue),
+            **self.cold_task_log.status(),
         )
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -1,5 +1,8 @@
 """Log lines on the state transitions that the Brain is told of and orders."""
 
+import math
+
+import pytest
 import structlog
 from helper import PARAMETERS, task_line
 
@@ -90,9 +93,68 @@
 
 def test_a_cold_line_tells_the_bounds_that_it_was_held_to():
     log = make_log()
-    log.brain.cold_tasks.budgets["a"] = ColdBudget(0.12, 0.05, 0.9, 1.4, 0.04)
+    log.brain.cold_tasks.budgets["a"] = ColdBudget(0.12, 0.05, 0.9, 1.4, 0.04, "needed")
     log.brain.cold_tasks.record(NOW, gp.TaskReport("a", "z", 20, 5, 900.0, 10_000, {}))
     started = gp.TaskListReceived("changes", (task_line("a", "ready", (NOW - 40_000) / 10_000),))
     assert logged(log, (NOW, [started], [gp.SetWeight(1, "a", 0.4)]))[1:] == [
-        "a 1 0.4 4.0 0.9 1.4 15 0.09 0.12 0.05 0.04 20.0 15.0 cold_line"
+        "a 1 0.4 4.0 0.9 1.4 15 0.09 0.12 0.05 0.04 needed 20.0 15.0 cold_line"
     ]
+
+
+def make_cold_log(age=40_000):
+    """A log that has just heard of the start of "a", so long ago."""
+    log = make_log()
+    started = gp.TaskListReceived("changes", (task_line("a", "ready", (NOW - age) / 10_000),))
+    log.observe(NOW, [started], [])
+    return log
+
+
+def test_a_cold_task_that_stops_answering_is_told_with_the_lines_that_it_had():
+    log = make_cold_log()
+    log.brain.cold_tasks.budgets["a"] = ColdBudget(0.12, 0.05, 0.9, 1.4, 0.04, "needed")
+    late = NOW + 80_000
+    entries = logged(
+        log,
+        (NOW + 1_000, [gp.ProbeFinished("a", 10, "ok", {})], [gp.SetWeight(1, "a", 0.3)]),
+        (NOW + 40_000, [], [gp.SetWeight(1, "a", 0.4)]),
+        (NOW + 70_000, [gp.TaskReport("a", "z", 7, 7, 0.0, 10_000, {})], [gp.SetWeight(1, "a", 0.0)]),
+        (late, [gp.ProbeFinished("a", 10, "timeout", {})], []),
+        (late + 1_000, [gp.ProbeFinished("a", 10, "timeout", {})], []),
+    )
+    lines = "-7.9s:1=0.3(needed) -4.0s:1=0.4(needed) -1.0s:1=0(none)"
+    assert entries[-1] == f"a 12.0 8.0 probe timeout True {lines} 0.0 False 0 0 0 7 7 1.0 cold_task_lost"
+    assert sum("cold_task_lost" in entry for entry in entries) == 1
+
+
+def test_the_status_names_the_last_cold_task_that_was_lost():
+    log = make_cold_log()
+    log.observe(NOW, [gp.ProbeFinished("a", 10, "timeout", {})] * 2, [])
+    with structlog.testing.capture_logs() as entries:
+        log.observe(NOW + STATUS_PERIOD, [], [])
+    assert (entries[-1]["cold_losses"], entries[-1]["last_cold_loss"]) == (1, "a 4.0 s old, no lines")
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [gp.ProbeFinished("a", 60_000, "timeout", {})] * 2,  # they began before the start
+        [gp.ProbeFinished("a", 10, outcome, {}) for outcome in ("timeout", "ok", "timeout", "full")],
+        [gp.TaskReport("a", "z", 4, 3, 200.0, 10_000, {})] * 2,
+    ],
+    ids=["former life", "answers between", "some tries answered"],
+)
+def test_a_cold_task_that_still_answers_is_not_told_as_lost(events):
+    entries = logged(make_cold_log(), (NOW + 1_000, events, []))
+    assert not any("cold_task_lost" in entry for entry in entries)
+
+
+def test_a_lost_cold_task_tells_how_long_its_former_line_stayed():
+    log = make_log()
+    table = log.brain.tables[0]
+    table.weights["a"] = math.inf
+    started = gp.TaskListReceived("changes", (task_line("a", "ready", NOW / 10_000),))
+    log.observe(NOW, [started], [])
+    table.set_weight("a", 0.0)
+    log.observe(NOW + 12_000, [], [gp.SetWeight(1, "a", 0.0)])
+    entries = logged(log, (NOW + 13_000, [gp.ProbeFinished("a", 10, "unreachable", {})] * 2, []))
+    assert " 1.2 False 0 0 0 0 0 1.0 cold_task_lost" in entries[-1]
