--- a/benchmarks/faults/day.py
+++ b/benchmarks/faults/day.py
@@ -18,6 +18,13 @@
 MASS_RELEASE_START_S = (5.0, 35.0)
 # A fault that makes several tasks slow at once: their share of all, how many times slower, and how long
 SLOW_TASKS_SHARE, SLOW_TASKS_RATIO, SLOW_TASKS_LENGTH_S = (0.05, 0.25), (2.0, 10.0), (10.0, 35.0)
+# Days on which large parts of the fleet crash: the choices of load, assigners, proxies of each, and failures
+# before a proxy avoids a task; how many waves, when they begin, how long they last, their share of all tasks
+CRASH_DAY_LOADS, CRASH_DAY_ASSIGNERS = (0.5, 0.6, 0.7, 0.8, 0.9), (1, 1, 2, 3, 3)
+CRASH_DAY_PROXIES, CRASH_DAY_STRIKES = (6, 12, 24, 80, 80, 80), (3, 8, 8)
+CRASH_WAVES, CRASH_WAVE_START_S, CRASH_WAVE_LENGTH_S = (1, 2, 3), (8.0, 56.0), (0.3, 6.0)
+CRASH_WAVE_SHARE, CRASH_DOWNTIME_S, CRASH_SILENT_SHARE = (0.1, 0.85), (0.3, 4.0), 0.1
+CRASH_DAY_MASS_RELEASE_SHARE = CRASH_DAY_SLOW_SHARE = 0.3  # of the days, that also have this fault
 INTAKE_LINES_PER_S = 150  # report lines that an assigner is given at most
 
 
@@ -203,6 +210,55 @@
     return dataclasses.replace(day, faults=tuple(sorted((*day.faults, *faults), key=lambda f: f.at)))
 
 
+def with_crash_waves(day, rng):
+    """The day with waves of crashes that each strike a part of the fleet."""
+    names = [node.name for node in day.nodes]
+    crashes = []
+    for _ in range(rng.choice(CRASH_WAVES)):
+        start, length = rng.uniform(*CRASH_WAVE_START_S), rng.uniform(*CRASH_WAVE_LENGTH_S)
+        struck = rng.sample(names, round(rng.uniform(*CRASH_WAVE_SHARE) * len(names)))
+        crashes += [
+            TaskRestart(
+                start + rng.uniform(0.0, length),
+                name,
+                rng.uniform(*CRASH_DOWNTIME_S),
+                rng.random() < CRASH_SILENT_SHARE,
+            )
+            for name in struck
+        ]
+    return dataclasses.replace(day, faults=tuple(sorted((*day.faults, *crashes), key=lambda f: f.at)))
+
+
+def draw_crash_day(seed, speed_variation):
+    """A day of unequal machines with crash waves, of a deployment that is drawn, too."""
+    rng = random.Random(f"crashes {seed}")
+    assigners = rng.choice(CRASH_DAY_ASSIGNERS)
+    day = draw_day(
+        seed,
+        rng.choice(CRASH_DAY_LOADS),
+        assigners,
+        tasks_restart_with_assigner=True,
+        speed_variation=speed_variation,
+    )
+    day = dataclasses.replace(
+        day,
+        proxies=rng.choice(CRASH_DAY_PROXIES) * assigners,
+        delays=msgspec.structs.replace(day.delays, strikes=rng.choice(CRASH_DAY_STRIKES)),
+        clients=msgspec.structs.replace(day.clients, again=rng.uniform(0.5, 1.0)),
+    )
+    if rng.random() < CRASH_DAY_MASS_RELEASE_SHARE:
+        day = with_mass_release(day)
+    if rng.random() < CRASH_DAY_SLOW_SHARE:
+        day = with_slow_tasks(day)
+    return with_crash_waves(day, rng)
+
+
+def without_assigner_restarts(day):
+    """The day on which no assigner gets a signal."""
+    kept = tuple(fault for fault in day.faults if not isinstance(fault, AssignerRestart))
+    return dataclasses.replace(day, faults=kept)
+
+
 def excerpt(day, start, length):
     """A shorter day: the faults that begin within `length` s from `start` on, moved to the day's beginning.
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -3,6 +3,7 @@
     python -m benchmarks.soak --seeds 50                      # seeds 1 to 50, half of them with a crowd
     python -m benchmarks.soak --first 32 --seeds 1 --load 0.9 --logs logs
     python -m benchmarks.soak --virtual --seeds 100           # in process, on a virtual clock: quick
+    python -m benchmarks.soak --virtual --crash-waves --seeds 200      # large parts of the fleet crash
 
 One row a day: rules broken, most of a cold task's budget that was used, by its present capacity and by its
 machine's own (a slow task or one with a neighbour has less), early falls (of cold tasks under
@@ -15,6 +16,7 @@
 import asyncio
 import concurrent.futures
 import pathlib
+import statistics
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -43,9 +45,12 @@
     directory: str
     speed_variation: float
     mass_release: bool
+    crash_waves: bool
 
     def day(self):
         """The day that it plays."""
+        if self.crash_waves:
+            return days.draw_crash_day(self.seed, self.speed_variation)
         day = days.draw_day(
             self.seed,
             self.load,
@@ -62,6 +67,7 @@
 
     row: str
     violations: tuple[str, ...]
+    service: float
 
 
 def play(run):
@@ -74,7 +80,8 @@
         directory.mkdir(parents=True, exist_ok=True)
         fleet = asyncio.run(process_link.play(run.day(), directory, run.crowd))
         usages = [link.usage for link in fleet.links]
-    return Outcome(row(run, fleet, usages), tuple(str(violation) for violation in fleet.judge.violations))
+    violations = tuple(str(violation) for violation in fleet.judge.violations)
+    return Outcome(row(run, fleet, usages), violations, fleet.result.service())
 
 
 def row(run, fleet, usages):
@@ -82,8 +89,8 @@
     ready = max((seconds for usage in usages for seconds in usage.seconds_to_ready), default=0.0)
     figures = (
         run.seed,
-        "drawn" if run.load is None else run.load,
-        run.assigners,
+        "drawn" if run.load is None or run.crash_waves else run.load,
+        fleet.day.assigners,
         "yes" if run.crowd else "no",
         len(fleet.judge.violations) or "none",
         f"{fleet.judge.peak_budget_use:.2f}",
@@ -115,6 +122,11 @@
         help="coefficient of variation of the speeds of machines of one type",
     )
     parser.add_argument("--mass-release", action="store_true", help="the whole release within 7 s")
+    parser.add_argument(
+        "--crash-waves",
+        action="store_true",
+        help="large parts of the fleet crash at once; load and deployment are drawn",
+    )
     parser.add_argument("--jobs", type=int, default=8, help="days at once")
     parser.add_argument("--virtual", action="store_true", help="in process, on a virtual clock")
     parser.add_argument("--logs", help="folder for the assigners' logs; else they are not kept")
@@ -134,12 +146,13 @@
             options.logs or directory,
             options.speed_variation,
             options.mass_release,
+            options.crash_waves,
         )
 
 
 def main():
     """Plays the days; returns the exit code."""
-    options, broken = parse_arguments(), []
+    options, broken, services = parse_arguments(), [], []
     print(HEADER, "| --- " * HEADER.count(" | ") + "| --- |", sep="\n", flush=True)
     with (
         tempfile.TemporaryDirectory() as directory,
@@ -147,8 +160,12 @@
     ):
         for outcome in pool.map(play, runs(options, directory)):
             print(outcome.row, flush=True)
+            services.append(outcome.service)
             broken += [f"seed {outcome.row.split()[1]}: {text.strip()}" for text in outcome.violations]
-    print(*broken, f"{len(broken)} broken rules in {options.seeds} days", sep="\n")
+    summary = (
+        f"{len(broken)} broken rules in {options.seeds} days, mean service {statistics.fmean(services):.4f}"
+    )
+    print(*broken, summary, sep="\n")
     return 1 if broken else 0
 
 
--- a/garnetpaddle/rehearsal/model/channel.py
+++ b/garnetpaddle/rehearsal/model/channel.py
@@ -129,9 +129,10 @@
                     add_change(number, 1, SetLevel(routes, level, retry_mode))
 
     def table_snapshot(self, table):
-        """The current content of a table."""
+        """The current content of a table, with those of its tasks that are withdrawn."""
         lines, levels = self.tables.get(table, {}), self.levels.get(table, {})
-        return ReplaceTable(dict(lines), dict(levels), tuple(self.withdrawn))
+        withdrawn = tuple(task for task in self.withdrawn if task in lines)
+        return ReplaceTable(dict(lines), dict(levels), withdrawn)
 
     def joined_proxies(self):
         """Numbers of the joined proxies."""
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -5,13 +5,16 @@
 
 import pytest
 
-from benchmarks.faults import brain_link, peer_servers, process_link
+from benchmarks.faults import brain_link, fleet, peer_servers, process_link
 from benchmarks.faults import day as days
 from benchmarks.soak import ASSIGNERS, SPEED_VARIATION
+from garnetpaddle import interface as gp
+from garnetpaddle.rehearsal.model import Scheduler
+from garnetpaddle.rehearsal.script import Delays
 
 
-def violations(fleet):
-    return [str(violation) for violation in fleet.judge.violations]
+def violations(played):
+    return [str(violation) for violation in played.judge.violations]
 
 
 @pytest.mark.parametrize(("seed", "utilization"), [(34, 0.8), (32, 0.9), (96, 0.9), (45, 1.0), (80, 1.0)])
@@ -74,6 +77,26 @@
 def test_processes_keep_the_rules_amid_signals_deaths_a_release_and_a_crowd(tmp_path):
     """Also: each heartbeat on a connection that is open until the signal is answered; SIGTERM ends with 0."""
     day = days.excerpt(days.draw_day(6, 0.6, tasks_restart_with_assigner=True), 16.0, 18.0)
-    fleet = asyncio.run(process_link.play(day, tmp_path, crowd=True))
-    assert violations(fleet) == []
-    assert sum(len(link.usage.seconds_to_ready) for link in fleet.links) == 5
+    played = asyncio.run(process_link.play(day, tmp_path, crowd=True))
+    assert violations(played) == []
+    assert sum(len(link.usage.seconds_to_ready) for link in played.links) == 5
+
+
+def test_processes_push_no_cold_task_over_by_calls_that_crashed_ones_no_longer_get(tmp_path):
+    """Proxies that avoided the crashed tasks sent all of their calls to a cold one, whatever its weight."""
+    day = days.excerpt(days.draw_crash_day(195, SPEED_VARIATION), 0.0, 18.0)
+    played = asyncio.run(process_link.play(days.without_assigner_restarts(day), tmp_path))
+    assert violations(played) == []
+
+
+def test_a_task_let_back_before_it_has_a_line_again_is_called_by_proxies_bound_meanwhile():
+    """Their bind told them of a withdrawn task that their table did not hold, and nothing took that back."""
+    scheduler = Scheduler(1)
+    proxy = fleet.FleetProxy(scheduler, 0, "z", {}, Delays(), None, None)
+    proxy.joined = True
+    channel = fleet.StreamChannel(scheduler, {0: proxy}, 1_000, 6, 0.1, lambda *_: None)
+    channel.send([gp.WithdrawTask("a", True), gp.BindProxy(0, 1)])
+    scheduler.run(50_000)
+    channel.send([gp.WithdrawTask("a", False), gp.SetWeight(1, "a", 1.0)])
+    scheduler.run(100_000)
+    assert proxy.has_usable_line()
