Withdraw every cold task from proxies that hold a former life's tables, in any message

What callers saw: after an assigner's restart, or where streams broke, a task that had just started got calls by the line that it had when it was warm, fell over and stayed down.

Cause: a new life withdrew cold tasks only if they had started at most 2 s before its first proxy joined; of older ones it took for granted that the former life had removed their lines. That life's orders were in its channel and died with it. Any message of the new life on other tasks then makes the calls count as sent with knowledge. At fault: recently_restarted and its constant, and tasks_to_withdraw, which left cold tasks out where former tables are not kept. Class of bug: an order that was given is taken for one that was carried out.

Change: all cold tasks count as changed, and are in each withdrawal that goes to waiting proxies. The test that asked for the contrary is replaced: its premise, that a former life has answered the start, does not hold where its orders are lost.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -35,10 +35,7 @@
 DEPARTED_LINE_TENTHS_MS = 600_000  # 60 s: how long an unreachable proxy may hold the line of a task that left
 # 6 s: how long proxies keep tables ordered before this start, which fit better than even shares
 INHERITED_TABLES_TENTHS_MS = 60_000
-# 2 s before the first proxy joins: a task that starts later, an earlier life may not have taken out of its
-# tables, as the start is told late and messages travel
-UNANSWERED_START_TENTHS_MS = 20_000
-# Of the tasks, those that have left or restarted: with more of them, and more than one, the tables ordered
+# Of the tasks, those that have left or are cold: with more of them, and more than one, the tables ordered
 # before this start are replaced at once, as a proxy may hold few other lines and calls those tasks instead.
 MAX_CHANGED_SHARE = 0.25
 
@@ -1051,11 +1048,11 @@
 
     def keeps_inherited_tables(self, now):
         """Whether proxies keep tables ordered before this start: for a while, until the first adjustment of
-        shares, which a headroom shows, and only as long as few of the tasks in them have changed since."""
+        shares, which a headroom shows, and only as long as few of the tasks in them have left or are cold."""
         if now - self.first_join_at >= INHERITED_TABLES_TENTHS_MS or any(t.headroom for t in self.own_tasks):
             return False
         departed = sum(name in self.tasks for name in self.departed())
-        changed = departed + len(self.recently_restarted(now))
+        changed = departed + len(self.cold_tasks_ready(now))
         return changed <= max(MAX_CHANGED_SHARE * (departed + len(self.ready())), 1)
 
     def push_lines(self, now, table, lines, joining, orders):
@@ -1149,24 +1146,24 @@
         return ask_all
 
     def tasks_to_withdraw(self, now, waiting, keeping):
-        """The names of tasks that the waiting proxies must not call, departed ones before restarted ones.
+        """The names of tasks that the waiting proxies must not call, departed ones before cold ones.
 
         Only tasks that have no line in any table and whose line was not removed just now: otherwise the
         withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
         """
-        departed, restarted = self.departed(), self.recently_restarted(now) if keeping else []
+        departed, cold = self.departed(), self.cold_tasks_ready(now)
         late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
         if not self.without_line(now, departed, waiting, late_before):
-            # Alone, restarted tasks may hardly delay binds.
+            # Alone, cold tasks may hardly delay binds.
             lines = len(waiting) * (self.parameters.message_overhead_lines + 2)
             channel_idle = self.queue + lines <= PUSH_START_QUEUE_S[1] * self.parameters.channel_lines
-            if not (channel_idle and self.without_line(now, restarted, waiting, late_before)):
+            if not (keeping and channel_idle and self.without_line(now, cold, waiting, late_before)):
                 return []
         # The message tells proxies of the starts that this assigner knows: it has all that any of them lacks.
         since = self.changed_at.get
         return [
             *sorted(self.without_line(now, departed, waiting, now), key=since),
-            *sorted(self.without_line(now, restarted, waiting, now), key=since),
+            *sorted(self.without_line(now, cold, waiting, now), key=since),
         ]
 
     def departed(self):
@@ -1190,11 +1187,11 @@
             )
         ]
 
-    def recently_restarted(self, now):
-        """Cold tasks whose start no earlier life of this assigner can have answered: proxies that hold tables
-        ordered by it call them by the lines that they had when they were warm."""
-        since = self.first_join_at - UNANSWERED_START_TENTHS_MS
-        return [task.id for task in self.ready() if not task.warm(now) and task.ramp_from >= since]
+    def cold_tasks_ready(self, now):
+        """The names of ready tasks that are cold. Proxies that wait for their bind may still call them by the
+        lines that they had when they were warm: an order of an earlier life, or to a stream that broke since,
+        may never have arrived."""
+        return [task.id for task in self.ready() if not task.warm(now)]
 
     def fitting_changes(self, now, changes, table):
         """How many of the sorted changes may be ordered now, by push interval, queue and message cap.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -998,15 +998,21 @@
     assert withdrawals == (["withdraw a, withdraw h"] if another_drains else ["withdraw h"])
 
 
-def test_cold_tasks_that_a_former_life_has_answered_stay_with_proxies_that_hold_its_tables():
-    """Their lines there are those of a younger task, and withdrawing them cost a fifth of the service."""
+@pytest.mark.parametrize("started_s_ago", [1.0, 3.0, 8.0, 14.0])
+def test_proxies_that_hold_a_former_lifes_table_lose_the_line_of_a_cold_task_however_long_ago_it_started(
+    started_s_ago,
+):
+    """Its removal was lost with the former life, and a message on other tasks made its calls count."""
     harness = BrainHarness("abcdefgh", 0)
-    harness.now = 200_000
+    harness.now, harness.next_report_at = 200_000, 210_000
     harness.reported_sums = {}
-    harness.handle(list_changes(task_line("h", "ready", 12.0)))
+    harness.trace.clear()
+    harness.handle(list_changes(task_line("h", "ready", 20.0 - started_s_ago)))
     harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in range(2)))
-    harness.advance(4)
-    assert not any("withdraw" in line for line in harness.trace)
+    harness.handle(list_changes(task_line("a", "draining")))
+    harness.advance(0.3)
+    first_message = next(line for line in harness.trace if "withdraw" in line or "bind" in line)
+    assert "withdraw h" in first_message
 
 
 @pytest.mark.parametrize("heard_after_joins_s", [0.0, 0.4])
