Give no cold task a line: proxies send it what they keep from others, whatever its weight

A proxy that avoids its other lines sends all of its calls to the one that is left, so any line is a task's whole budget where proxies are few or much of the fleet fails at once; and a task slowed eight times falls by a single call. Class of bug: open-loop admission by relative weight, taken for a bound on absolute load.

Cold tasks take no part in a step. A task that turns warm begins with its kind's mean share, or its own of a former life where that is smaller.

Why this works: no bound proxy can call a cold task. What is left is work by tables that this life has not written, or before its start is heard.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,7 +21,6 @@
 import statistics
 
 from garnetpaddle import interface as gp
-from garnetpaddle.cold_tasks import ColdTasks, health_factor, machine_strength
 from garnetpaddle.state import Proxy, PushAcknowledgements, Table, Task
 from garnetpaddle.task_registry import TaskRegistry
 
@@ -54,7 +53,6 @@
 REPORT_COLLECTION_TENTHS_MS = 1_500  # 0.15 s: the lines of one report may arrive in several batches
 
 # Tables
-MIN_WEIGHT_RATIO = 0.005  # of the average: a smaller weight is left out, as a line of weight 0 is no line
 MIN_WEIGHT_CHANGE_RATIO = 0.1  # a smaller change of a weight is not sent
 # Seconds that the channel may need to bind all joined proxies (times channel_lines: lines); else tables are
 # smaller.
@@ -63,12 +61,9 @@
 # A table with fewer warm lines gets up to half of those of the table that has most for its calls: at once if
 # no proxy is bound to it, else after a push interval, and other tables over time.
 MIN_WARM_LINES = 2
-# A proxy that needs longer than this for failures_before_avoidance calls to one task is taken to avoid hardly
-# any task.
-SLOW_AVOIDANCE_S = 20
 
 # Pushes of changed table lines, in tuples by urgency (see push_lines). 0: lines of tasks that are no longer
-# ready or have restarted, and the first lines of a table; 1: lines of ejected, cold and newly warm tasks;
+# ready or have restarted, and the first lines of a table; 1: lines of ejected and newly warm tasks;
 # 2: other changes of weights. A limit in seconds is the time that the channel needs for the queued lines:
 # times channel_lines it is a number of lines.
 PUSH_INTERVALS_TENTHS_MS = (0, 3_000, 10_000)  # separate, so that no urgency delays another
@@ -146,7 +141,6 @@
         self.withdrawn = {}  # task -> when its withdrawal was ordered, False where that order is in doubt
         self.log_messages = []
         self.pending_reports = []
-        self.cold_tasks = ColdTasks(parameters, SMOOTHING_FACTOR)
         # (task, zone) -> the estimated end of the time that its last reports covered; see record_covered_time
         self.counted_until = {}
         self.timers = [(0, 0, Brain.subscribe, None)] * (parameters.list_mode == "ask")
@@ -272,11 +266,9 @@
         """Registers a task that has started, with what is known of its machine from its `former` life."""
         kind_share = statistics.fmean(shares.get(entry.kind) or [entry.size / self.mean_size])
         task = Task(entry, kind_share, self.parameters.warm_after, former)
-        task.strength = machine_strength(task.learned_share, task.warm_adjustments, kind_share)
-        if task.warm_adjustments:
+        if task.learned_share:
             task.share = min(task.learned_share, kind_share)
         self.registry.register(task)
-        self.cold_tasks.forget(entry.task)
 
     def remove_departed(self, now, orders):
         """Forgets tasks that left so long ago that no proxy can hold their table lines any more."""
@@ -289,7 +281,6 @@
             ):
                 orders += [gp.WithdrawTask(name, False)] * (self.withdrawn.pop(name, None) is not None)
                 self.registry.remove(name)
-                self.cold_tasks.forget(name)
 
     def subscribe(self, now, _, orders):
         orders.append(gp.SubscribeTaskList())
@@ -462,7 +453,6 @@
                 a + b for a, b in zip(sums_by_task.get(event.task, (0, 0, 0.0)), sums, strict=True)
             ]
             task.update_load(event.load)
-            self.cold_tasks.record(now, event)
             if 0 < self.effective_at["weights"] <= until - event.span:
                 task.add_calls(*sums)
             if 0 < self.effective_at["levels"] <= until - event.span / 2:
@@ -480,15 +470,9 @@
             self.usual_in_flight *= 1 + SMOOTHING_FACTOR * (
                 max(self.backlog() * BACKLOG_RATIO, 1 / self.usual_in_flight) - 1
             )
-        # Proxies of assigners that order another part of the fleet do not call the tasks of this one.
-        proxies_ratio = self.parameters.proxies / max(len(self.channel_proxies), 1)
-        fleet_ratio = max(proxies_ratio * len(self.own_tasks) / max(len(self.ready()), 1), 1)
-        self.cold_tasks.update_warm_answers(
-            now, self.own_tasks, REPORT_VALID_ROUNDS * self.report_round, fleet_ratio
-        )
         if level_sums[0] and self.parameters.level_kind == "fraction":
             self.update_levels(*level_sums)
-        tasks = [t for t in self.own_tasks if not t.ejected]
+        tasks = [t for t in self.own_tasks if t.warm(now) and not t.ejected]
         self.pending_reports = []
         # A headroom shows that the first adjustment has been made.
         if tasks and sum(t.tries for t in tasks) >= (
@@ -496,8 +480,7 @@
         ):
             self.update_shares(tasks)
             for task in tasks:
-                if task.warm(now):
-                    task.learn_share()
+                task.learned_share = task.share
 
     def update_statistics(self, now, name, tries, failures, latency_sum):
         """Updates a task's statistics; returns whether its answers count as evidence for or against a fault.
@@ -767,31 +750,7 @@
             task.probe_scheduled = True
             self.schedule(now + int(self.uniform(0, PROBE_INTERVAL_TENTHS_MS)), Brain.probe, task)
         assigned = self.assign_to_tables(now, self.own_tasks)
-        health = self.health()
-        # For proxies that rarely avoid a task: falls in proportion to the largest of the failures, failing
-        # probes and backlog, and not at all for busy cores
-        proportional_health = 1 - max(
-            self.usual_failure_share, self.failing_probe_share(), self.backlog() - 1
-        )
-        # task_calls: calls a second at an average task while max_ready_tasks are ready, extrapolated from
-        # this assigner's proxies to all; calls_per_ready_task: at a task that is ready now, in such units
-        task_calls = (
-            max(self.call_rate, 0.1)
-            * max(self.parameters.proxies / max(len(self.channel_proxies), 1), 1)
-            / self.max_ready_tasks
-        )
-        calls_per_ready_task = self.max_ready_tasks / max(len(ready), 1)
-        return {
-            table: self.table_lines(
-                now,
-                tasks,
-                max(table.call_rate / task_calls, calls_per_ready_task * len(tasks)),
-                max(table.call_rate / max(self.call_rate, 0.1), 1 / len(self.tables)),
-                health,
-                proportional_health,
-            )
-            for table, tasks in assigned.items()
-        }
+        return {table: self.table_lines(now, tasks) for table, tasks in assigned.items()}
 
     def assign_to_tables(self, now, own_tasks):
         """The tasks of each table: of one, or of as many smaller ones as are needed to bind all proxies in
@@ -840,39 +799,18 @@
                 }
         return assigned
 
-    def table_lines(self, now, assigned, table_calls, table_share, health, proportional_health):
-        """A table's lines: task -> weight. Cold tasks get what ColdTasks lets them have.
+    def table_lines(self, now, assigned):
+        """A table's lines: task -> weight.
 
-        table_calls: the table's calls in units of an average task's; table_share: its share of all calls.
+        A cold task has none: proxies send all of their calls to what they do not avoid, whatever its weight.
         """
-        tasks = [t for t in assigned if not t.ejected]
-        if not any(t.warm(now) for t in tasks):  # a failing task is better than none: keep the least suspect
-            tasks += sorted(
-                (t for t in assigned if t.ejected and t.warm(now)), key=lambda t: t.fault_evidence
-            )[:1]
-        shares = {t: min(t.share, PROBATION_SHARE_RATIO) if t.on_probation else t.share for t in tasks}
-        warm = {t.id: share for t, share in shares.items() if t.warm(now)}
-        cold = {t: share for t, share in shares.items() if not t.warm(now)}
-        if not warm:
-            call_shares = self.cold_tasks.call_shares_alone(now, cold, table_calls)
-            return {
-                name: share * table_calls
-                for name, share in call_shares.items()
-                if share * table_calls >= MIN_WEIGHT_RATIO
-            }
-        cold = {t: share for t, share in cold.items() if not self.is_kept_from_waiting_proxies(now, t)}
-        factor = health_factor(health, proportional_health, self.rarely_avoided(warm))
-        call_shares = {
-            name: factor * share
-            for name, share in self.cold_tasks.call_shares(
-                now, cold, sum(warm.values()), table_calls, table_share
-            ).items()
-        }
-        total_weight = sum(warm.values()) / (1 - min(sum(call_shares.values()), 0.9))
-        return warm | {
-            name: share * total_weight
-            for name, share in call_shares.items()
-            if share * total_weight >= MIN_WEIGHT_RATIO
+        warm = [task for task in assigned if task.warm(now)]
+        # A failing task is better than none: keep the least suspect.
+        least_suspect = sorted(warm, key=lambda task: task.fault_evidence)[:1]
+        tasks = [task for task in warm if not task.ejected] or least_suspect
+        return {
+            task.id: min(task.share, PROBATION_SHARE_RATIO) if task.on_probation else task.share
+            for task in tasks
         }
 
     def select_own_part(self, now, ready):
@@ -911,29 +849,6 @@
         own_part = self.task_order[1][: math.ceil(len(ready) * own_share)]
         return own_part if any(t.warm(now) and not t.ejected for t in own_part) else ready
 
-    def rarely_avoided(self, lines):
-        """Whether proxies are taken to avoid hardly any task, and thus not to crowd the others: a proxy needs
-        longer than SLOW_AVOIDANCE_S for failures_before_avoidance calls to one task, or never avoids one."""
-        # A proxy's calls a second to each task, with the further tries of those that fail
-        calls = (
-            self.call_rate
-            / max(len(self.channel_proxies), 1)
-            / max(len(lines), 1)
-            / (1.001 - self.usual_failure_share)
-        )
-        return (
-            not self.parameters.failures_before_avoidance
-            or self.parameters.failures_before_avoidance / max(calls, 0.001) > SLOW_AVOIDANCE_S
-        )
-
-    def is_kept_from_waiting_proxies(self, now, task):
-        """Whether proxies that still wait for their bind were told to withdraw a task: its first line here
-        would let them call it again, by the line that it has in their old tables."""
-        if task.id not in self.withdrawn:
-            return False
-        withdrawn_at = self.withdrawn[task.id] or now
-        return any(p.joined_at <= withdrawn_at for p in self.unbound_proxies.values() if not p.external)
-
     def emit(self, now, orders):
         """The one place where the wanted and the present state are compared and the difference is ordered:
         lines and levels of the tables, then binds, then withdrawals for proxies that wait for their bind."""
@@ -1059,34 +974,28 @@
         """Orders the lines of a table that differ, most urgent first, as far as pace and channel allow.
 
         Returns how many changes were ordered, and all changes: (urgency, sort key, task, weight). Urgency 0:
-        removes a task that is no longer ready, replaces the line of a restarted task, or adds the first lines
-        of a table where none remains. 1: removes an ejected or cold task, adds a warm one, or reduces the
-        weight of a cold one. 2: other changes of weights, new cold tasks, and tasks that moved elsewhere.
+        removes a task that is no longer ready or has restarted, or adds the first lines of a table where none
+        remains. 1: removes an ejected task, or adds one. 2: other changes of weights, and tasks that moved
+        elsewhere.
         """
         weights = table.weights
         changes = []
         no_line_remains = not any(weight and name in lines for name, weight in weights.items())
-        for name in weights:
+        for name, weight in weights.items():
             # If the list has become empty and a dropped task does not count as gone, the last table is kept.
             if name not in lines and (
                 lines or self.parameters.dropped_counts_as_gone or self.lines[name].state == "draining"
             ):
-                task = self.tasks[name]
-                deferrable = weights[name] < math.inf and self.lines[name].state == "ready"
-                cold = not task.warm(now)
-                urgency = deferrable * (1 if task.ejected or cold else 2)
-                changes.append((urgency, -math.inf if cold else -weights[name], name, 0.0))
+                deferrable = weight < math.inf and self.lines[name].state == "ready"
+                urgency = deferrable * (1 if self.tasks[name].ejected else 2)
+                changes.append((urgency, -weight, name, 0.0))
         for name, weight in lines.items():
-            # Cold lines shrink early and grow last: while warm ones are missing, they get more calls.
             old_weight = weights.get(name, 0.0)
-            warm = self.tasks[name].warm(now)
-            if not old_weight and (warm or no_line_remains):
+            if not old_weight:
                 changes.append((int(not no_line_remains), -weight, name, weight))
             elif old_weight == math.inf or abs(weight - old_weight) > MIN_WEIGHT_CHANGE_RATIO * old_weight:
-                shrinks = weight < old_weight
-                urgency = (old_weight < math.inf) * (1 if shrinks and not warm else 2)
-                size = abs(weight - old_weight) * (warm or shrinks)
-                changes.append((urgency, -math.inf if shrinks and not warm else -size, name, weight))
+                urgency = 2 if old_weight < math.inf else 0
+                changes.append((urgency, -abs(weight - old_weight), name, weight))
         changes.sort()
         sent = self.fitting_changes(now, changes, table)
         for urgency, _, name, weight in changes[:sent]:
--- a/garnetpaddle/interface/parameters.py
+++ b/garnetpaddle/interface/parameters.py
@@ -1,6 +1,7 @@
 """Parameters: what an assigner is given once, at its start. All times are whole tenths of a millisecond.
 
-`logged_as` and `logged_fields` are the names in the logs, which tools read (LogFormat).
+`logged_as` and `logged_fields` are the names in the logs, which tools read (LogFormat). What is told of cold
+tasks and of proxies that avoid a task is logged; no decision uses it, as cold tasks get no calls.
 """
 
 from dataclasses import dataclass
--- a/garnetpaddle/net/cold_task_log.py
+++ b/garnetpaddle/net/cold_task_log.py
@@ -25,12 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LineChange:
-    """A cold task's line as it was ordered; basis: what allowed it (ColdBudget.basis)."""
+    """A change of a cold task's line as it was ordered."""
 
     at: int
     table: int
     weight: float
-    basis: str
 
 
 @dataclass(slots=True)
@@ -67,10 +66,8 @@
         return self.failed_checks >= FAILED_CHECKS_BEFORE_LOSS
 
     def describe_lines(self, now):
-        """Its lines, as seconds ago, table, weight and basis, the oldest first."""
-        return " ".join(
-            f"-{seconds(now - line.at)}s:{line.table}={line.weight:g}({line.basis})" for line in self.lines
-        )
+        """Its lines, as seconds ago, table and weight, the oldest first."""
+        return " ".join(f"-{seconds(now - line.at)}s:{line.table}={line.weight:g}" for line in self.lines)
 
 
 class ColdTaskLog:
@@ -96,7 +93,7 @@
                     self.note_report(event)
         for order in orders:
             if isinstance(order, gp.SetWeight) and order.task in self.cold:
-                self.note_line(now, order)
+                self.cold[order.task].record_line(LineChange(now, order.table, order.weight))
         self.note_removals(now)
         self.log_losses(now)
 
@@ -122,12 +119,6 @@
             task.tries, task.failures = event.tries, event.failures
             task.record_check(event.failures == event.tries, "tries")
 
-    def note_line(self, now, order):
-        """Takes over a line that was ordered."""
-        budget = self.brain.cold_tasks.budgets.get(order.task)
-        basis = budget.basis if budget and order.weight else "none"
-        self.cold[order.task].record_line(LineChange(now, order.table, order.weight, basis))
-
     def note_removals(self, now):
         """Records how long the warm lines of restarted tasks stayed after the start was heard."""
         for name, task in self.cold.items():
--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -97,32 +97,9 @@
         self.log_binds(now, [order for order in orders if isinstance(order, gp.BindProxy)])
 
     def log_cold_line(self, now, order):
-        """Logs the line of a cold task with the bounds that it was held to, where there were any."""
-        fields = {}
-        if budget := self.brain.cold_tasks.budgets.get(order.task):
-            rate = self.brain.cold_tasks.own_rate(order.task)
-            recent = self.brain.cold_tasks.slow_start.recent(now, order.task)
-            latency = seconds(recent.latency_sum / recent.count) if recent.count else None
-            fields = {
-                "capacity": round(budget.capacity, 3),
-                "proven": round(budget.proven, 3),
-                "recent_answers": recent.count,
-                "recent_latency_s": latency,
-                "share_bound": round(budget.by_share, 4),
-                "answer_bound": round(budget.by_answers, 4),
-                "answer_share": round(budget.answer_share, 4),
-                "basis": budget.basis,
-                "own_tries": round(rate.tries, 1),
-                "own_answers": round(rate.answers, 1),
-            }
-        log.info(
-            "cold_line",
-            task=order.task,
-            table=order.table,
-            weight=order.weight,
-            age_s=seconds(now - self.started_at[order.task]),
-            **fields,
-        )
+        """Logs a change of the line that a task had before it restarted."""
+        age = seconds(now - self.started_at[order.task])
+        log.info("cold_line", task=order.task, table=order.table, weight=order.weight, age_s=age)
 
     def log_binds(self, now, binds):
         """Logs how many proxies were bound to each table, and how long after its join the slowest was."""
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -12,8 +12,7 @@
 
     `share` averages 1 over the tasks of an assigner. `headroom` is the smoothed ratio of a task's answer rate
     to the calls that it gets, 1 / (mean latency x share ** SHARE_EXPONENT); 0 until the first adjustment of
-    its share. `learned_share` is its share after the last of the `warm_adjustments`, those while it was warm,
-    in any of its lives. `strength` is its machine's capacity relative to the machines of its kind.
+    its share. `learned_share` is its share after its last adjustment, in any of its lives; 0 until then.
     """
 
     def __init__(self, line, share, warm_after, former=None):
@@ -22,8 +21,6 @@
         self.zone = line.zone
         self.share = share
         self.learned_share = former.learned_share if former else 0.0
-        self.warm_adjustments = former.warm_adjustments if former else 0
-        self.strength = 1.0
         self.last_probe = "ok"
         self.ramp_from = line.started_at
         self.ramp_time = warm_after if line.started_at else 0
@@ -61,11 +58,6 @@
         self.failures = self.failures + failures
         self.latency_sum += latency_sum
 
-    def learn_share(self):
-        """Keeps the share as one that the warm task was adjusted to."""
-        self.learned_share = self.share
-        self.warm_adjustments += 1
-
     def readmit(self, fault_evidence):
         """Ends the ejection and puts the task on probation, with this much evidence against it left."""
         self.ejected = False
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -60,6 +60,12 @@
     assert violations(brain_link.play(days.with_slow_tasks(draw_unequal_day(seed, 0.6)))) == []
 
 
+@pytest.mark.parametrize("seed", [43, 128, 144, 265])
+def test_no_cold_task_is_pushed_over_where_little_else_is_left_to_call(seed):
+    """It got the calls of all that proxies avoided, or with others of its age all calls of the fleet."""
+    assert violations(brain_link.play(days.draw_crash_day(seed, SPEED_VARIATION))) == []
+
+
 @pytest.mark.parametrize("seed", [9001, 9055, 9056])
 def test_no_restarted_task_is_pushed_over_by_proxies_that_hold_a_former_lifes_tables(seed):
     """Amid a mass release a restarted assigner left its proxies with tables of tasks that had restarted."""
