Remove the lines of restarted tasks also where no other task is left

What callers saw: where a drop from the list does not bind (contract.dropped_stay_open), proxies went on calling tasks that had all restarted, by the lines that these had when they were warm.

Cause: push_lines kept a table as it was while no task at all was wanted in it, meant for a list that has become empty. Tasks that such a list drops stay ready and warm, so they are wanted, and the condition held only where every task left is cold. Class of bug: a guard whose case another guard already covers, so that it acts in the wrong one only. Found on reading what follows from tables without cold lines.

Test: fails before for False, passes for True.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -990,10 +990,7 @@
         changes = []
         no_line_remains = not any(weight and name in lines for name, weight in weights.items())
         for name, weight in weights.items():
-            # If the list has become empty and a dropped task does not count as gone, the last table is kept.
-            if name not in lines and (
-                lines or self.parameters.dropped_counts_as_gone or self.lines[name].state == "draining"
-            ):
+            if name not in lines:
                 deferrable = weight < math.inf and self.lines[name].state == "ready"
                 urgency = deferrable * (1 if self.tasks[name].ejected else 2)
                 changes.append((urgency, -weight, name, 0.0))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -124,6 +124,15 @@
         assert not any(table.weights.get("b") for table in harness.brain.tables)
 
 
+@pytest.mark.parametrize("dropped_counts_as_gone", [True, False])
+def test_restarted_tasks_lose_their_lines_where_no_other_task_is_left(dropped_counts_as_gone):
+    """Where a drop from the list does not bind, the last table was kept, with all of its lines cold."""
+    harness = BrainHarness(dropped_counts_as_gone=dropped_counts_as_gone)
+    harness.advance(3)
+    harness.handle(list_changes(*(task_line(task, started=2.9) for task in "abcd")))
+    assert harness.trace[-1] == "  3.0  a=0, b=0, c=0, d=0"
+
+
 def test_removals_that_follow_each_other_on_a_busy_channel_share_a_message():
     """Each went alone, one line under a head of seven: a release filled the channel, and drains were late."""
     harness = BrainHarness("abcdefgh", 80, queue_limit=8_000.0)
