Give a task that was unreachable no new line before the list could tell of its restart

What callers saw: a task that had just started anew got a warm task's line and fell over, in the second or so until the list told of its start.

Cause: a task that dies while it is cold, and starts again, turned warm by its former start; one that was ejected as unreachable was let back as soon as two probes were answered, by its next process. Class of bug: a health check's success taken for the same process.

Change: for 3 s after a probe found nothing listening a task is not let back, and gets no first line, unless no other task is left. Lists tell of a start within some 2 s. A link that was cut for probes costs as much.

What remains: a line that stands already, where the list tells of the start within the few ms before some message leaves.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -88,6 +88,8 @@
 FAULTY_FAILURE_SHARE = 0.5  # of a faulty task's calls; more where many fail everywhere, as in an overload
 MAX_EJECTED_SHARE = 0.3  # of all shares, while the other tasks answer: they must be able to carry the load
 UNREACHABLE = "unreachable"  # the probe outcome where nothing listens
+# 3 s: within it the list tells that a task which was unreachable has started anew
+RESTART_NOTICE_TENTHS_MS = 30_000
 MAX_UNREACHABLE_SHARE = 0.5  # of the tasks: more that are unreachable are a network fault
 MIN_EJECTION_PERIODS = 3  # report periods of the first ejection, doubled for each further one
 MAX_EJECTION_PERIODS = 24
@@ -542,6 +544,7 @@
                 task, int(not ok), int(ok), self.failing_probe_share() * (event.outcome != UNREACHABLE)
             )
         task.last_probe = event.outcome
+        task.unreachable_at = now if event.outcome == UNREACHABLE else task.unreachable_at
 
     def update_evidence(self, task, failures, good, usual_share):
         """Wald's sequential test: does the task fail as a faulty one does, or as is usual at present?
@@ -691,6 +694,7 @@
             if (
                 task.ejected
                 and now >= task.ejected_until
+                and not self.may_have_restarted(now, task)
                 and (task.probe_successes >= 2 or not self.parameters.probes_allowed)
             ):
                 task.readmit(EJECTION_EVIDENCE / 2)
@@ -807,14 +811,24 @@
         A cold task has none: proxies send all of their calls to what they do not avoid, whatever its weight.
         """
         warm = [task for task in assigned if task.warm(now)]
+        healthy = [task for task in warm if not task.ejected]
+        settled = [
+            task
+            for task in healthy
+            if task.id in task.table.weights or not self.may_have_restarted(now, task)
+        ]
         # A failing task is better than none: keep the least suspect.
         least_suspect = sorted(warm, key=lambda task: task.fault_evidence)[:1]
-        tasks = [task for task in warm if not task.ejected] or least_suspect
+        tasks = settled or healthy or least_suspect
         return {
             task.id: min(task.share, PROBATION_SHARE_RATIO) if task.on_probation else task.share
             for task in tasks
         }
 
+    def may_have_restarted(self, now, task):
+        """Whether a task was unreachable so lately that the list may yet tell of its restart."""
+        return now - task.unreachable_at < RESTART_NOTICE_TENTHS_MS
+
     def select_own_part(self, now, ready):
         """The ready tasks that this assigner orders: all of them, or only a part if binding its proxies to
         tables with all of them would exceed the queue limit or take the channel longer than MAX_BIND_ALL_S.
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -1,6 +1,7 @@
 """The state that the Brain keeps of tasks, proxies, tables and pending acknowledgements. No decisions."""
 
 import collections
+import math
 
 from garnetpaddle import interface as gp
 
@@ -28,6 +29,7 @@
         self.ejections = 0
         self.probe_successes = 0
         self.reported_at = NEVER
+        self.unreachable_at = -math.inf  # the last probe that found nothing listening
         self.succeeded_at = NEVER
         # Smoothed values: failure_share, mean_tries (per report), mean_latency (of a successful try).
         # fault_evidence is the log-likelihood ratio of a faulty task to one that fails as is usual now.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -133,6 +133,39 @@
     assert harness.trace[-1] == "  3.0  a=0, b=0, c=0, d=0"
 
 
+def test_a_task_gets_no_line_while_the_list_may_yet_tell_that_it_has_restarted():
+    """It had died just before it was warm, and its first line met the next life, which had just started."""
+    harness = BrainHarness()
+    harness.advance(1)
+    harness.handle(list_changes(task_line("e", started=1)))
+    advance_while_cold(harness, "e", 14.5)
+    harness.handle(gp.ProbeFinished("e", 20, "unreachable", {}))
+    advance_while_cold(harness, "e", 2.9)
+    harness.advance(0.1)
+    assert "e" in table_weights(harness.brain)
+
+
+def test_a_task_let_back_gets_no_line_while_the_list_may_yet_tell_that_it_has_restarted():
+    """Its process had died and come back; calls reached it cold until the list told of that."""
+    harness = BrainHarness()
+    harness.advance(3)
+    harness.handle(*[gp.ProbeFinished("b", 20, "unreachable", {})] * 3)
+    assert "b" not in table_weights(harness.brain)
+    harness.probe_outcomes["b"] = "ok"
+    advance_while_cold(harness, "b", 2.9)
+    del harness.trace[:]
+    harness.advance(1)
+    assert any("b=0.25" in entry for entry in harness.trace)
+
+
+def test_tasks_that_may_have_restarted_have_lines_where_no_other_task_is_left():
+    harness = BrainHarness("a")
+    harness.advance(1)
+    harness.handle(gp.ProbeFinished("a", 20, "unreachable", {}))
+    harness.handle(gp.ChannelStateUnknown())
+    assert table_weights(harness.brain) == {"a": 1.0}
+
+
 def test_removals_that_follow_each_other_on_a_busy_channel_share_a_message():
     """Each went alone, one line under a head of seven: a release filled the channel, and drains were late."""
     harness = BrainHarness("abcdefgh", 80, queue_limit=8_000.0)
