Move the step of the shares and the sequential test out of the Brain, into modules of their own

Change: share_adjustment.py (adjust_shares, a function a step of it) and fault_evidence.py (update_evidence), with their constants; literals of the test have names.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,6 +21,8 @@
 import statistics
 
 from garnetpaddle import interface as gp
+from garnetpaddle.fault_evidence import EJECTION_EVIDENCE, UNLISTED_EVIDENCE, update_evidence
+from garnetpaddle.share_adjustment import PRIOR_ANSWERS, SMOOTHING_FACTOR, adjust_shares
 from garnetpaddle.state import Proxy, PushAcknowledgements, Table, Task
 from garnetpaddle.task_registry import TaskRegistry
 
@@ -39,17 +41,8 @@
 MAX_CHANGED_SHARE = 0.25
 
 # Shares: the calls that each task gets, as a ratio to the average; adjusted in steps, by its answers
-SMOOTHING_FACTOR = 0.4  # weight of the latest reading: readings are seconds apart and noisy
-MAX_SHARE_INCREASE_RATIO = 2.0  # per step
-MAX_SHARE_DECREASE_RATIO = 3.0  # per step: an overload must be left quickly
-MIN_SHARE_RATIO = 0.2  # of the average share: enough calls to go on observing a task
-# Of the share in the headroom, 1 / (latency x share ** exponent): 0 aims at equal latency, 1 at equal calls
-# in flight.
-SHARE_EXPONENT = 0.7
-PRIOR_ANSWERS = 10.0  # a reading of so few answers counts half, the average the other half
 # Answers per task on average before the first step, when machine kinds tell more, and before later ones
 MIN_ANSWERS_PER_TASK = (3, 8)
-FAILURE_LATENCY_TENTHS_MS = SECOND  # a failed answer counts as 1 s of latency
 REPORT_COLLECTION_TENTHS_MS = 1_500  # 0.15 s: the lines of one report may arrive in several batches
 
 # Tables
@@ -80,12 +73,6 @@
 LATE_BIND_GRACE_SHARE = 0.4
 
 # Ejection of faulty tasks and their readmission
-EJECTION_EVIDENCE = 5.3  # ln 200: the odds at which a task is taken for faulty, one false alarm in 200 tests
-MAX_GOOD_EVIDENCE = 2.0  # most evidence that good answers may build up against new failures
-# Least evidence against a task that the list has dropped without a drain: one failure then suffices while at
-# most 5% of calls fail as usual, two while at most 20% do (see update_evidence).
-UNLISTED_EVIDENCE = 3.0
-FAULTY_FAILURE_SHARE = 0.5  # of a faulty task's calls; more where many fail everywhere, as in an overload
 MAX_EJECTED_SHARE = 0.3  # of all shares, while the other tasks answer: they must be able to carry the load
 UNREACHABLE = "unreachable"  # the probe outcome where nothing listens
 # 3 s: within it the list tells that a task which was unreachable has started anew
@@ -468,7 +455,9 @@
         ]
         self.usual_failure_share = self.median_failure_share(now)
         for task, tries, failures, _ in judged:
-            self.update_evidence(task, failures, tries - failures, self.usual_failure_share)
+            task.fault_evidence = update_evidence(
+                task.fault_evidence, failures, tries - failures, self.usual_failure_share
+            )
         # Moves towards the median calls in flight, at least 1, but not while many calls fail.
         if self.usual_failure_share < NO_RETRY_FAILURE_SHARE:
             self.usual_in_flight *= 1 + SMOOTHING_FACTOR * (
@@ -540,26 +529,11 @@
         task.probe_successes = task.probe_successes + 1 if ok else 0
         task.unlisted = task.unlisted and not ok  # the list dropped it, but it answers
         if not task.ejected and not (task.slow and event.outcome != "error"):
-            self.update_evidence(
-                task, int(not ok), int(ok), self.failing_probe_share() * (event.outcome != UNREACHABLE)
-            )
+            usual_share = self.failing_probe_share() * (event.outcome != UNREACHABLE)
+            task.fault_evidence = update_evidence(task.fault_evidence, int(not ok), int(ok), usual_share)
         task.last_probe = event.outcome
         task.unreachable_at = now if event.outcome == UNREACHABLE else task.unreachable_at
 
-    def update_evidence(self, task, failures, good, usual_share):
-        """Wald's sequential test: does the task fail as a faulty one does, or as is usual at present?
-
-        Each failure or good answer adds the logarithm of the ratio of its probabilities in the two cases.
-        usual_share: the share of calls that fail as usual, bounded so that no probability is near 0 or 1.
-        """
-        usual_share = min(max(usual_share, 0.02), 0.8)
-        # Where more than 10% fail everywhere, a faulty task is one that answers 60% of what others answer.
-        faulty_share = max(FAULTY_FAILURE_SHARE, 0.4 * usual_share + 0.6 * (usual_share > 0.1))
-        task.fault_evidence += failures * math.log(faulty_share / usual_share) + good * math.log(
-            (1 - faulty_share) / (1 - usual_share)
-        )
-        task.fault_evidence = min(max(task.fault_evidence, -MAX_GOOD_EVIDENCE), 2 * EJECTION_EVIDENCE)
-
     def on_route_report(self, now, event):
         self.route_calls[event.route] = self.route_calls.get(event.route, 0) + event.calls
 
@@ -589,61 +563,11 @@
             )
 
     def update_shares(self, tasks):
-        """Multiplies each share by its task's smoothed headroom, relative to the average and within bounds,
-        then normalises the shares."""
+        """Adjusts the shares of the tasks; the weights that follow are not in effect yet."""
         self.effective_at["weights"] = 0
         self.awaited.pop("weights", None)
-        mean_latency = sum(task.total_latency(FAILURE_LATENCY_TENTHS_MS) for task in tasks) / sum(
-            task.tries for task in tasks
-        )
-        # Tasks listed as one kind are alike: a reading of few calls is pulled towards its kind's average.
-        kinds = {
-            kind: [task for task in tasks if task.kind == kind]
-            for kind in sorted({task.kind for task in tasks})
-        }
-        # Before the first step, while proxies still follow tables ordered before this start, the calls that a
-        # task gets show its share there.
-        for same_kind in (
-            kinds.values()
-            if any(
-                not (proxy.bound or proxy.has_only_default_table) for proxy in self.channel_proxies.values()
-            )
-            else ()
-        ):
-            mean_tries = statistics.fmean(task.tries for task in same_kind)
-            for task in same_kind if not any(task.headroom for task in tasks) else ():
-                task.share = max(
-                    mean_tries * (task.tries + PRIOR_ANSWERS) / (mean_tries + PRIOR_ANSWERS), 1.0
-                )
-        kind_latency = {
-            kind: (
-                sum(task.total_latency(FAILURE_LATENCY_TENTHS_MS) for task in same_kind)
-                + PRIOR_ANSWERS * mean_latency
-            )
-            / (sum(task.tries for task in same_kind) + PRIOR_ANSWERS)
-            for kind, same_kind in kinds.items()
-        }
-        for task in tasks:
-            latest_headroom = (
-                (task.tries + PRIOR_ANSWERS)
-                / (task.total_latency(FAILURE_LATENCY_TENTHS_MS) + PRIOR_ANSWERS * kind_latency[task.kind])
-                / task.share**SHARE_EXPONENT
-            )
-            task.headroom = (
-                SMOOTHING_FACTOR * latest_headroom + (1 - SMOOTHING_FACTOR) * task.headroom
-                if task.headroom
-                else latest_headroom
-            )
-            task.reset_counts()
-        average = sum(task.share * task.headroom for task in tasks) / sum(task.share for task in tasks)
-        for task in tasks:
-            ratio = min(max(task.headroom / average, 1 / MAX_SHARE_DECREASE_RATIO), MAX_SHARE_INCREASE_RATIO)
-            # The headroom was measured at the old share; unchanged, it would move the new one once more.
-            task.share = task.share * ratio
-            task.headroom = task.headroom / ratio
-        scale = len(tasks) / sum(task.share for task in tasks)
-        for task in tasks:
-            task.share = max(task.share * scale, MIN_SHARE_RATIO)
+        proxies = self.channel_proxies.values()
+        adjust_shares(tasks, any(not (p.bound or p.has_only_default_table) for p in proxies))
 
     def update_levels(self, tries, failures, latency_sum):
         """Sets how much of each route is admitted where capacity is short, cutting the routes of the least
