Split the Brain's emit into its steps

Need: one function of 118 lines did the queue's estimate, the tables, admissions, binds, withdrawals and acknowledgements, with nine local flags.

Change: a method for each; what a batch does beside its orders is a Batch. No decision changes.

Brain and wire host tests: 150 passed.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -23,7 +23,7 @@
 from garnetpaddle import interface as gp
 from garnetpaddle.fault_evidence import EJECTION_EVIDENCE, UNLISTED_EVIDENCE, update_evidence
 from garnetpaddle.share_adjustment import PRIOR_ANSWERS, SMOOTHING_FACTOR, adjust_shares
-from garnetpaddle.state import Proxy, PushAcknowledgements, Table, Task
+from garnetpaddle.state import Batch, Proxy, PushAcknowledgements, Table, Task
 from garnetpaddle.task_registry import TaskRegistry
 
 SECOND = 10_000  # tenths of a ms
@@ -792,8 +792,34 @@
     def emit(self, now, orders):
         """The one place where the wanted and the present state are compared and the difference is ordered:
         lines and levels of the tables, then binds, then withdrawals for proxies that wait for their bind."""
-        # After CHANNEL_SILENCE_TENTHS_MS without an acknowledgement, the channel is taken to work off its
-        # queue at half its rate. silent_s: seconds since the last estimate, 0 while acknowledgements arrive
+        self.update_queue(now)
+        wanted = self.wanted_lines(now)
+        joining, keeping = self.waiting_proxies(now)
+        admissions = self.wanted_admissions()
+        written_before = self.written_lines
+        self.shortest_message = self.parameters.queue_limit
+        batch = Batch()
+        for table in sorted(self.tables, key=lambda t: t.pushed_at[2]):
+            self.push_table(now, table, wanted[table], admissions, joining, batch, orders)
+        # What waits for the channel goes before binds and withdrawals, as these tell nothing of it; for the
+        # message cap it may wait longer than they can.
+        capped = any(self.push_blocked(now, 0, table) for table in self.tables)
+        ask_all = False
+        if capped or not batch.urgent_changes_wait:
+            self.bind_joining(now, wanted, admissions, joining, batch, orders)
+            waiting = [proxy for proxy in joining + keeping if not proxy.external]
+            ask_all = bool(waiting) and self.withdraw_departed(now, waiting, bool(keeping), orders)
+        if self.written_lines > written_before:
+            self.mark = (self.mark + 1) % 65_536
+            orders.append(gp.RequestAcknowledgement(self.mark, ask_all))
+            # Lines that have left once the mark is acknowledged, of the shortest message, up to the end
+            self.sent_batches[self.mark] = [written_before, self.shortest_message, self.written_lines]
+        self.await_acknowledgements(now, batch)
+
+    def update_queue(self, now):
+        """Reduces the estimated queue by time: after CHANNEL_SILENCE_TENTHS_MS without an acknowledgement the
+        channel is taken to work it off at half its rate."""
+        # Seconds since the last estimate, 0 while acknowledgements arrive
         silent_s = (
             (now - self.queue_updated_at)
             * (now - self.queue_progress_at > CHANNEL_SILENCE_TENTHS_MS)
@@ -801,108 +827,102 @@
         )
         self.queue = max(0.0, self.queue - silent_s * self.parameters.channel_lines / 2)
         self.queue_updated_at = now
-        queue_limit = self.parameters.queue_limit
-        wanted = self.wanted_lines(now)
-        bind_limits = (
-            min(BIND_QUEUE_SHARES[0] * queue_limit, BIND_MAX_QUEUE_S * self.parameters.channel_lines),
-            BIND_QUEUE_SHARES[1] * queue_limit,
-        )
-        # A proxy that has waited since before this may well hold lines of tasks that left.
-        late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
-        joining = sorted(
+
+    def waiting_proxies(self, now):
+        """The unbound proxies: those to be bound, late ones first, then those with most calls; and those that
+        keep tables ordered before this start for a while."""
+        late_before = self.late_before(now)
+        waiting = sorted(
             self.unbound_proxies.values(),
             key=lambda proxy: (proxy.joined_at > late_before, -proxy.call_rate, proxy.id),
         )
-        inheriting = self.keeps_inherited_tables(now)
-        keeping = [proxy for proxy in joining if inheriting and not proxy.has_only_default_table]
-        joining = [proxy for proxy in joining if not inheriting or proxy.has_only_default_table]
+        if not self.keeps_inherited_tables(now):
+            return waiting, []
+        keeping = [proxy for proxy in waiting if not proxy.has_only_default_table]
+        return [proxy for proxy in waiting if proxy.has_only_default_table], keeping
+
+    def late_before(self, now):
+        """A proxy that has waited since before this time may well hold lines of tasks that left."""
+        return now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
+
+    def wanted_admissions(self):
+        """Route -> its level and retry mode."""
         # Tries follow on proof that the call was not carried out, so that nothing is done twice; none follow
         # while most tasks fail, as they would feed the overload.
         self.retries_stopped = self.usual_failure_share > (
             NO_RETRY_FAILURE_SHARE / 2 if self.retries_stopped else NO_RETRY_FAILURE_SHARE
         )
         retry_mode = "none" if self.retries_stopped else "on proof"
-        admissions = {
+        return {
             k: (self.route_levels.get(k, self.open_level), retry_mode)
             for k in range(len(self.parameters.routes))
         }
-        written_before = self.written_lines
-        self.shortest_message = queue_limit
-        reached = []  # the channel's proxies that get a message in this batch
-        all_changes_sent = True  # no change of a table line had to wait
-        admission_changed = False  # admissions were ordered that may differ from those in effect
-        urgent_changes_wait = False  # a change of urgency 0, as for a drain, had to wait
-        for table in sorted(self.tables, key=lambda t: t.pushed_at[2]):
-            sent, changes = self.push_lines(now, table, wanted[table], joining, orders)
-            changed_routes = [k for k in admissions if admissions[k] != table.admissions.get(k)]
-            # They join the message of the lines; alone they count as changes of urgency 1.
-            changed_routes = (
-                changed_routes
-                if sent or self.fitting_changes(now, [(1,)] * len(changed_routes), table)
-                else []
-            )
-            # False where everything is admitted and the order only restates one that may be lost, or is the
-            # first of a table while the proxies' default retry mode is unknown
-            changes_admission = changed_routes and (
-                self.admitted_share < 1
-                or table.admissions
-                and (table.admissions_ordered or self.parameters.default_retry_mode)
-            )
-            for admission in sorted({admissions[k] for k in changed_routes}):
-                routes = tuple(k for k in changed_routes if admissions[k] == admission)
-                orders.append(gp.SetAdmission(table.number, routes, *admission))
-                table.admissions_ordered = True
-                if changes_admission and not admission_changed:
-                    share = admission[0] / self.open_level
-                    self.log_messages.append(
-                        f"routes {routes} are let in at {share:.0%}, tried again {retry_mode}"
-                    )
-            table.admissions = admissions if changed_routes else table.admissions
-            if sent or changed_routes:
-                self.shortest_message = min(
-                    self.shortest_message,
-                    self.record_messages(now, sent + len(changed_routes), table.channel_proxies.values()),
+
+    def push_table(self, now, table, lines, admissions, joining, batch, orders):
+        """Orders the lines and admissions of a table that differ, as far as pace and channel allow."""
+        sent, changes = self.push_lines(now, table, lines, joining, orders)
+        changed_routes = [k for k in admissions if admissions[k] != table.admissions.get(k)]
+        # They join the message of the lines; alone they count as changes of urgency 1.
+        if not sent and not self.fitting_changes(now, [(1,)] * len(changed_routes), table):
+            changed_routes = []
+        if changed_routes:
+            self.order_admissions(table, changed_routes, admissions, batch, orders)
+        if sent or changed_routes:
+            cost = self.record_messages(now, sent + len(changed_routes), table.channel_proxies.values())
+            self.shortest_message = min(self.shortest_message, cost)
+            batch.reached += table.channel_proxies.values()
+        batch.all_changes_sent = batch.all_changes_sent and sent == len(changes)
+        if sent < len(changes) and changes[sent][0] == 0:
+            batch.urgent_changes_wait = True
+
+    def order_admissions(self, table, changed_routes, admissions, batch, orders):
+        """Orders the levels and retry modes of routes in a table."""
+        # False where everything is admitted and the order only restates one that may be lost, or is the
+        # first of a table while the proxies' default retry mode is unknown
+        changes_admission = self.admitted_share < 1 or (
+            table.admissions and (table.admissions_ordered or self.parameters.default_retry_mode)
+        )
+        for admission in sorted({admissions[k] for k in changed_routes}):
+            routes = tuple(k for k in changed_routes if admissions[k] == admission)
+            orders.append(gp.SetAdmission(table.number, routes, *admission))
+            table.admissions_ordered = True
+            if changes_admission and not batch.admission_changed:
+                share = admission[0] / self.open_level
+                self.log_messages.append(
+                    f"routes {routes} are let in at {share:.0%}, tried again {admission[1]}"
                 )
-                reached += table.channel_proxies.values()
-            all_changes_sent = all_changes_sent and sent == len(changes)
-            admission_changed = admission_changed or bool(changes_admission)
-            urgent_changes_wait = urgent_changes_wait or sent < len(changes) and changes[sent][0] == 0
+        table.admissions = admissions
+        batch.admission_changed = batch.admission_changed or bool(changes_admission)
+
+    def bind_joining(self, now, wanted, admissions, joining, batch, orders):
+        """Binds proxies, the first ones, as far as the channel allows, and removes them from `joining`."""
+        queue_limit, channel_lines = self.parameters.queue_limit, self.parameters.channel_lines
+        most_queued = min(BIND_QUEUE_SHARES[0] * queue_limit, BIND_MAX_QUEUE_S * channel_lines)
+        most_queued_late = BIND_QUEUE_SHARES[1] * queue_limit
+        late_before = self.late_before(now)
         total_weight = {t: sum(lines.values()) for t, lines in wanted.items()}
-        # What waits for the channel goes before binds and withdrawals, as these tell nothing of it; for the
-        # message cap it may wait longer than they can. A late proxy's higher limit applies only while nothing
-        # urgent waits, so that binds never take a drain's room.
-        urgent_first = urgent_changes_wait and not any(
-            self.push_blocked(now, 0, table) for table in self.tables
-        )
-        # Proxies with most calls go first; the others keep their tables.
-        while joining and not urgent_first:
+        while joining:
             proxy = joining[0]
-            late = proxy.joined_at <= late_before
             table = max(self.tables, key=lambda t: total_weight[t] / (t.call_rate + proxy.call_rate))
             line_count = len(table.weights) + len(admissions) * table.admissions_ordered + 1
-            if (
-                self.queue + line_count + self.parameters.message_overhead_lines + 1
-                > bind_limits[late and not urgent_changes_wait]
-            ):
+            # The higher limit applies only while nothing urgent waits, so that binds never take its room.
+            late = proxy.joined_at <= late_before and not batch.urgent_changes_wait
+            cost = line_count + self.parameters.message_overhead_lines + 1
+            if self.queue + cost > (most_queued_late if late else most_queued):
                 break
             orders.append(gp.BindProxy(proxy.id, table.number))
             self.bind(proxy, True, table)
             self.shortest_message = min(self.shortest_message, self.record_messages(now, line_count, [proxy]))
-            reached += [joining.pop(0)] * (not proxy.external)
-        waiting = [proxy for proxy in joining + keeping if not proxy.external]
-        withdraws = bool(waiting) and not urgent_first
-        ask_all = withdraws and self.withdraw_departed(now, waiting, bool(keeping), orders)
-        if self.written_lines > written_before:
-            self.mark = (self.mark + 1) % 65_536
-            orders.append(gp.RequestAcknowledgement(self.mark, ask_all))
-            # Lines that have left once the mark is acknowledged, of the shortest message, up to the end
-            self.sent_batches[self.mark] = [written_before, self.shortest_message, self.written_lines]
-        if admission_changed:
+            batch.reached += [joining.pop(0)] * (not proxy.external)
+
+    def await_acknowledgements(self, now, batch):
+        """Waits for the proxies that a batch reaches until its levels, and its weights, are in effect."""
+        if batch.admission_changed:
             self.effective_at["levels"] = 0
-            self.awaited["levels"] = PushAcknowledgements().expect(reached, self.mark, True)
+            self.awaited["levels"] = PushAcknowledgements().expect(batch.reached, self.mark, True)
         if not self.effective_at["weights"]:
             self.awaited.setdefault("weights", PushAcknowledgements()).expect(
-                reached, self.mark, all_changes_sent
+                batch.reached, self.mark, batch.all_changes_sent
             )
         # If no change was worth sending, nothing is awaited: the last push remains, in effect from now on.
         self.confirm_pushes(now, None, self.mark)
@@ -1004,7 +1024,7 @@
         withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
         """
         departed, cold = self.departed(), self.cold_tasks_ready(now)
-        late_before = now - LATE_BIND_GRACE_SHARE * self.parameters.drain_grace_period
+        late_before = self.late_before(now)
         if not self.without_line(now, departed, waiting, late_before):
             # Alone, cold tasks may hardly delay binds.
             lines = len(waiting) * (self.parameters.message_overhead_lines + 2)
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+from dataclasses import dataclass, field
 
 from garnetpaddle import interface as gp
 
@@ -156,6 +157,21 @@
             self.weights[task] = weight
 
 
+@dataclass(slots=True)
+class Batch:
+    """What one batch of orders does, beside the orders themselves.
+
+    reached: the channel's proxies that get a message. all_changes_sent: no change of a table line had to
+    wait. admission_changed: admissions were ordered that may differ from those in effect.
+    urgent_changes_wait: a change of urgency 0, as for a drain, had to wait.
+    """
+
+    reached: list = field(default_factory=list)
+    all_changes_sent: bool = True
+    admission_changed: bool = False
+    urgent_changes_wait: bool = False
+
+
 class PushAcknowledgements:
     """The acknowledgements that a push still waits for.
 
