Status tells how many removals wait for the channel

Change: waiting_removals in the status line: lines of tasks that drain, left or restarted whose removal has not been ordered.

--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -1,5 +1,7 @@
 """Log lines on what the Brain is told and what it orders: state transitions, not single calls or weights."""
 
+import math
+
 import structlog
 
 from garnetpaddle import interface as gp
@@ -134,5 +136,14 @@
                 for proxy in brain.unbound_proxies.values()
             ),
             queued_lines=round(brain.queue),
+            waiting_removals=self.waiting_removals(),
             **self.cold_task_log.status(),
         )
+
+    def waiting_removals(self):
+        """The lines of tasks that drain, left or restarted whose removal has not been ordered."""
+        return sum(
+            weight == math.inf or self.brain.lines[name].state != "ready"
+            for table in self.brain.tables
+            for name, weight in table.weights.items()
+        )
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -4,7 +4,7 @@
 
 import pytest
 import structlog
-from helper import PARAMETERS, task_line
+from helper import PARAMETERS, BrainHarness, list_changes, task_line
 
 from garnetpaddle import interface as gp
 from garnetpaddle.brain import Brain
@@ -81,6 +81,22 @@
     assert [entry["health"] for entry in entries] == [1.0, 1.0]
 
 
+def test_the_status_counts_the_removals_that_wait_for_the_channel():
+    harness = BrainHarness("abcd", 80, queue_limit=8_000.0)
+    harness.advance(8)
+    log = DecisionLog(harness.brain, PARAMETERS.warm_after)
+    harness.brain.queue = harness.brain.unacknowledged = 1_600.0
+    counts = []
+    for _ in range(2):
+        harness.handle(list_changes(task_line("a", "draining"), task_line("b", started=7.9)))
+        log.next_status_at = 0
+        with structlog.testing.capture_logs() as entries:
+            log.observe(harness.now, [], [])
+        counts.append(entries[-1]["waiting_removals"])
+        harness.brain.queue = harness.brain.unacknowledged = 0.0
+    assert counts == [2, 0]
+
+
 def test_starts_are_forgotten_once_the_tasks_are_warm():
     log = make_log()
     restarted = gp.TaskListReceived("changes", (task_line("a", "ready", NOW / 10_000),))
