A table without a warm task holds the lines of another one

Cause: a table in want gets up to half of the strongest one's warm tasks, rounded down, so the strongest keeps its last one. Lines of cold tasks hid a part of it: they came once all cold tasks of a table together bore its calls. At fault: assign_to_tables moves tasks, and a task has one table. Found by asking what else relied on cold lines.

Change: where a table would be empty, it holds the lines of the table with most; its own return as they turn warm.

Test: 24 tasks, several tables, all but one restart: fails before, also on.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -680,7 +680,10 @@
             task.probe_scheduled = True
             self.schedule(now + int(self.uniform(0, PROBE_INTERVAL_TENTHS_MS)), Brain.probe, task)
         assigned = self.assign_to_tables(now, self.own_tasks)
-        return {table: self.table_lines(now, tasks) for table, tasks in assigned.items()}
+        lines = {table: self.table_lines(now, tasks) for table, tasks in assigned.items()}
+        # A table without a warm task holds those of another one: its proxies have nobody else to call.
+        most_lines = max(lines.values(), key=len)
+        return {table: own_lines or dict(most_lines) for table, own_lines in lines.items()}
 
     def assign_to_tables(self, now, own_tasks):
         """The tasks of each table: of one, or of as many smaller ones as are needed to bind all proxies in
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -133,6 +133,20 @@
     assert harness.trace[-1] == "  3.0  a=0, b=0, c=0, d=0"
 
 
+def test_no_table_is_empty_while_a_task_of_another_one_is_warm():
+    """With as few warm tasks as tables, or fewer, the proxies of some had nobody left to call."""
+    names = [f"t{n:02}" for n in range(24)]
+    harness = BrainHarness(names, 40, queue_limit=4_000.0, channel_lines=200.0)
+    harness.advance(12)
+    assert len(harness.brain.tables) > 2
+    harness.handle(list_changes(*(task_line(name, started=11.9) for name in names[1:])))
+    harness.advance(2)
+    assert all(list(table.weights) == ["t00"] for table in harness.brain.tables)
+    harness.advance(18)
+    assert len(table_weights(harness.brain)) == 24
+    assert sum(len(table.weights) for table in harness.brain.tables) == 24
+
+
 def test_a_task_gets_no_line_while_the_list_may_yet_tell_that_it_has_restarted():
     """It had died just before it was warm, and its first line met the next life, which had just started."""
     harness = BrainHarness()
