Send newly warm tasks also where a line to every proxy costs most of the queue

Cause: pushes of urgency 1 and 2 may fill half of the queue limit. One line to each of 304 proxies costs 2,432 with its heads, so no such message ever fitted, however idle the channel.

Change: message_room; an empty channel has the room of urgent pushes where not one line fits otherwise, less the admissions that may join. Where a line fits, nothing changes.

Test: fails before.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -1079,7 +1079,6 @@
         fit = 0
         overhead = self.parameters.message_overhead_lines + 1
         proxy_count = len(table.channel_proxies)
-        limit = self.parameters.queue_limit
         for urgency in range(3):
             eligible = sum(c[0] <= urgency for c in changes)
             if eligible <= fit or self.push_blocked(now, urgency, table):
@@ -1093,16 +1092,27 @@
                 or urgency == 0
                 and self.cannot_wait(now, changes[:eligible])
             ):
-                max_queue = PUSH_MAX_QUEUE_S * self.parameters.channel_lines if urgency else limit
-                # Lines that still fit into each proxy's message
-                room = int(
-                    (min(PUSH_QUEUE_SHARES[urgency] * limit, max_queue) - self.queue) / proxy_count - overhead
-                )
+                room = self.message_room(urgency, proxy_count)
                 # If not all fit, as many as do; of urgency 0 and 1 only if these are no fewer lines than the
                 # overhead of the message, as the overheads would otherwise fill the channel.
                 fit = eligible if room >= eligible else max(fit, room * (room >= overhead or urgency == 2))
         return fit
 
+    def message_room(self, urgency, proxy_count):
+        """The lines that fit into a message to each of so many proxies in a push of an urgency.
+
+        Where not even one fits into what pushes of this urgency may use, an empty channel has room for more:
+        such a push would never be sent.
+        """
+        limit, overhead = self.parameters.queue_limit, self.parameters.message_overhead_lines + 1
+        most_queued = PUSH_QUEUE_SHARES[urgency] * limit
+        if urgency:
+            most_queued = min(most_queued, PUSH_MAX_QUEUE_S * self.parameters.channel_lines)
+        if not self.queue and most_queued < proxy_count * (overhead + 1):
+            # Changed admissions may join the message.
+            most_queued = PUSH_QUEUE_SHARES[0] * limit - proxy_count * len(self.parameters.routes)
+        return int((most_queued - self.queue) / proxy_count - overhead)
+
     def cannot_wait(self, now, changes):
         """Whether changes of urgency 0 include a table's first lines, or a removal that has waited long."""
         heard_by = now - MAX_URGENT_WAIT_GRACE_SHARE * self.parameters.drain_grace_period
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -133,6 +133,16 @@
     assert harness.trace[-1] == "  3.0  a=0, b=0, c=0, d=0"
 
 
+def test_a_newly_warm_task_gets_its_line_where_a_message_to_all_takes_most_of_the_queue():
+    """A line to each of 300 proxies costs over half of the queue's limit: it never fitted."""
+    harness = BrainHarness(proxies=300, queue_limit=4_400.0)
+    harness.advance(8)
+    harness.handle(list_changes(task_line("e", started=7.9)))
+    advance_while_cold(harness, "e", 14.5)
+    harness.advance(4)
+    assert "e" in table_weights(harness.brain) and harness.brain.queue <= 4_400
+
+
 def test_no_table_is_empty_while_a_task_of_another_one_is_warm():
     """With as few warm tasks as tables, or fewer, the proxies of some had nobody left to call."""
     names = [f"t{n:02}" for n in range(24)]
