--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -99,9 +99,16 @@
         self.log_binds(now, [order for order in orders if isinstance(order, gp.BindProxy)])
 
     def log_cold_line(self, now, order):
-        """Logs a change of the line that a task had before it restarted."""
-        age = seconds(now - self.started_at[order.task])
-        log.info("cold_line", task=order.task, table=order.table, weight=order.weight, age_s=age)
+        """Logs a change of the line that a task had before it restarted, unless the task is warm by now."""
+        age = now - self.started_at[order.task]
+        if age < self.warm_after:
+            log.info(
+                "cold_line",
+                task=order.task,
+                table=order.table,
+                weight=order.weight,
+                age_s=seconds(age),
+            )
 
     def log_binds(self, now, binds):
         """Logs how many proxies were bound to each table, and how long after its join the slowest was."""
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -126,7 +126,7 @@
         (late + 1_000, [gp.ProbeFinished("a", 10, "timeout", {})], []),
     )
     lines = "-7.9s:1=0.3 -4.0s:1=0.4 -1.0s:1=0"
-    assert entries[-1] == f"a 12.0 8.0 probe timeout True {lines} 0.0 False 0 0 0 7 7 1.0 cold_task_lost"
+    assert entries[-1] == f"a 12.0 8.0 probe timeout True {lines} 0.0 0 0 False 0 0 0 7 7 1.0 cold_task_lost"
     assert sum("cold_task_lost" in entry for entry in entries) == 1
 
 
@@ -161,4 +161,46 @@
     table.set_weight("a", 0.0)
     log.observe(NOW + 12_000, [], [gp.SetWeight(1, "a", 0.0)])
     entries = logged(log, (NOW + 13_000, [gp.ProbeFinished("a", 10, "unreachable", {})] * 2, []))
-    assert " 1.2 False 0 0 0 0 0 1.0 cold_task_lost" in entries[-1]
+    assert " 1.2 0 0 False 0 0 0 0 0 1.0 cold_task_lost" in entries[-1]
+
+
+def test_the_first_line_of_a_task_that_has_just_turned_warm_is_no_cold_line():
+    log = make_log()
+    started = gp.TaskListReceived("changes", (task_line("a", "ready", NOW / 10_000),))
+    warm_at = NOW + PARAMETERS.warm_after
+    assert logged(log, (NOW, [started], []), (warm_at, [], [gp.SetWeight(1, "a", 1.0)])) == [
+        "a ready 0.0 task_listed"
+    ]
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [gp.ProbeFinished("a", 10, outcome, {}) for outcome in ("unreachable", "ok", "timeout", "timeout")],
+        [
+            gp.TaskListReceived("changes", (task_line("a", "ready", (NOW - 10_000) / 10_000),)),
+            gp.TaskListReceived("changes", (task_line("a", "gone"),)),
+        ],
+    ],
+    ids=["before its start is listed", "dropped by the list"],
+)
+def test_a_fall_that_the_list_hides_is_counted_with_the_warm_line_that_stood(events):
+    log = make_log()
+    log.brain.handle(NOW - 50_000, [gp.TaskListReceived("stale", (task_line("a"),))])
+    log.observe(NOW - 50_000, [], [gp.SetWeight(1, "a", 1.2)])
+    for event in events:
+        log.observe(NOW, [event], [])
+    assert log.cold_task_log.losses == 1
+    assert "-5.0s:1=1.2" in log.cold_task_log.last_loss
+
+
+def test_a_lost_cold_task_tells_which_proxies_have_not_confirmed_the_removal_of_its_line():
+    harness = BrainHarness("abcd", 3)
+    log = DecisionLog(harness.brain, PARAMETERS.warm_after)
+    harness.advance(8)
+    started = list_changes(task_line("a", "ready", harness.now / 10_000))
+    orders = harness.brain.handle(harness.now, [started])
+    log.observe(harness.now, [started], orders)
+    entries = logged(log, (harness.now, [gp.ProbeFinished("a", 0, "unreachable", {})] * 2, []))
+    queued = round(harness.brain.queue)
+    assert queued and f" 0.0 {queued} 3 False 3 0 0 " in entries[-1]
