--- a/benchmarks/faults/day.py
+++ b/benchmarks/faults/day.py
@@ -25,6 +25,17 @@
 CRASH_WAVES, CRASH_WAVE_START_S, CRASH_WAVE_LENGTH_S = (1, 2, 3), (8.0, 56.0), (0.3, 6.0)
 CRASH_WAVE_SHARE, CRASH_DOWNTIME_S, CRASH_SILENT_SHARE = (0.1, 0.85), (0.3, 4.0), 0.1
 CRASH_DAY_MASS_RELEASE_SHARE = CRASH_DAY_SLOW_SHARE = 0.3  # of the days, that also have this fault
+# A wave of crashes before an assigner's last restart, and a few tasks that crash after it
+LATE_WAVE_S, LATE_WAVE_SHARE, LATE_CRASHES, LATE_CRASHES_S = (41.0, 46.0), 0.6, 3, (57.0, 59.5)
+LATE_CRASH_DOWNTIME_S = (0.3, 2.0)
+# A short day of crashes alone
+CRASH_AT_S, CRASH_SPACING_S, CRASH_DAY_LENGTH_S = 6.0, 0.05, 12.0
+QUEUE_LIMIT_S = 2.0  # of the channel's usual pace, as the sites' settings have it
+# Spells of a fault of the relay and of the channel: when they begin, how long they last, the share of calls
+# that break, and the share of its pace that a channel keeps
+SPELL_START_S, SPELL_LENGTH_S = ((2.0, 15.0), (20.0, 35.0), (42.0, 55.0)), (3.0, 8.0)
+BROKEN_CALLS_SHARE, SLOW_CHANNEL_FACTOR = (0.1, 0.6), (0.25, 0.7)
+RELAY_FAULTS = ("break", "silent", "unreadable")
 INTAKE_LINES_PER_S = 150  # report lines that an assigner is given at most
 
 
@@ -86,7 +97,30 @@
     share: float
 
 
-Fault = TaskRestart | TaskReplacement | AssignerRestart | TaskFault | StreamBreak
+@dataclass(frozen=True, slots=True)
+class RelayFault:
+    """The relay of an assigner breaks a share of its calls, which may have been carried out.
+
+    kind: "break" (of the connection, after the call's last byte), "silent" or "unreadable" (its answer)."""
+
+    at: float
+    end: float
+    rank: int
+    kind: str
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class SlowChannel:
+    """The channel of an assigner sends at a share of its usual pace."""
+
+    at: float
+    end: float
+    rank: int
+    factor: float
+
+
+Fault = TaskRestart | TaskReplacement | AssignerRestart | TaskFault | StreamBreak | RelayFault | SlowChannel
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +147,7 @@
     told_warm_after: float  # as the settings say: every task is warm by then
     faults: tuple[Fault, ...]
     length: float = DAY_LENGTH_S
+    list_tells_crashes: bool = False  # as "gone", with the list's delay for tasks that left
 
 
 def draw_day(
@@ -253,6 +288,49 @@
     return with_crash_waves(day, rng)
 
 
+def with_late_crashes(day):
+    """The day with a wave of crashes before the last restart of an assigner, which the list tells of."""
+    rng = random.Random(f"late crashes {day.seed}")
+    names = [node.name for node in day.nodes]
+    wave = rng.sample(names, round(LATE_WAVE_SHARE * len(names)))
+    times = [(name, rng.uniform(*LATE_WAVE_S)) for name in wave]
+    times += [(name, rng.uniform(*LATE_CRASHES_S)) for name in rng.sample(names, LATE_CRASHES)]
+    crashes = [TaskRestart(at, name, rng.uniform(*LATE_CRASH_DOWNTIME_S), False) for name, at in times]
+    return dataclasses.replace(
+        day,
+        faults=tuple(sorted((*day.faults, *crashes), key=lambda fault: fault.at)),
+        list_tells_crashes=True,
+    )
+
+
+def with_only_crashes(day, count, downtime):
+    """A short day on which nothing happens but that so many tasks crash at once, all down for as long."""
+    names = random.Random(day.seed).sample([node.name for node in day.nodes], count)
+    crashes = tuple(
+        TaskRestart(CRASH_AT_S + k * CRASH_SPACING_S, name, downtime, False) for k, name in enumerate(names)
+    )
+    return dataclasses.replace(day, faults=crashes, length=CRASH_DAY_LENGTH_S)
+
+
+def with_relay_faults(day):
+    """The day on which each relay breaks calls in every way, and each channel is slow, for a while; the queue
+    limit follows the channel's pace."""
+    rng = random.Random(f"relay {day.seed}")
+    faults = []
+    for rank in range(day.assigners):
+        kinds = rng.sample(RELAY_FAULTS, len(RELAY_FAULTS))
+        for kind, start_range in zip(kinds, SPELL_START_S, strict=True):
+            start, slow_start = rng.uniform(*start_range), rng.uniform(*start_range)
+            share, factor = rng.uniform(*BROKEN_CALLS_SHARE), rng.uniform(*SLOW_CHANNEL_FACTOR)
+            faults.append(RelayFault(start, start + rng.uniform(*SPELL_LENGTH_S), rank, kind, share))
+            slow_end = slow_start + rng.uniform(*SPELL_LENGTH_S)
+            faults.append(SlowChannel(slow_start, slow_end, rank, factor))
+    delays = msgspec.structs.replace(day.delays, queue_limit=QUEUE_LIMIT_S * day.delays.lines)
+    return dataclasses.replace(
+        day, delays=delays, faults=tuple(sorted((*day.faults, *faults), key=lambda fault: fault.at))
+    )
+
+
 def without_assigner_restarts(day):
     """The day on which no assigner gets a signal."""
     kept = tuple(fault for fault in day.faults if not isinstance(fault, AssignerRestart))
--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from benchmarks.faults import day as days
-from benchmarks.faults.judge import Judge, JudgedNode
+from benchmarks.faults.judge import Judge, JudgedNode, Pause
 from garnetpaddle import interface as gp
 from garnetpaddle.rehearsal.load_generator import LoadGenerator
 from garnetpaddle.rehearsal.model import Channel, Proxy, Scheduler, tenths_of_ms
@@ -26,6 +26,18 @@
 TAIL_S = 6.0  # after the last call: time for what is still in work
 
 
+# How long the time limits wait after a call that the relay broke, by the way in which it did
+RELAY_PAUSE = {"break": 5_000, "silent": 15_000, "unreadable": 15_000}
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenCall:
+    """A call that the relay breaks. kind: as in RelayFault; executed: its orders are carried out."""
+
+    kind: str
+    executed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ListedTask:
     """A task's entry as discovery tells it. started_at: on the scheduler's clock; None: before the day."""
@@ -55,6 +67,8 @@
     link = None
     last_sender = None  # the link whose message it applied last, and when that was sent
     last_message_sent_at = None
+    last_ordered_by = None  # the link that ordered the last message to it, and when
+    last_ordered_at = None
 
 
 @dataclass(slots=True)
@@ -104,6 +118,8 @@
         self.lines += lines
         self.waiting_lines += lines
         joined_at = self.proxies[number].joined_at
+        self.proxies[number].last_ordered_by = self.link
+        self.proxies[number].last_ordered_at = self.scheduler.now
         self.waiting.append(QueuedMessage(number, lines, changes, mark, self.scheduler.now, joined_at))
         if not self.sending:
             self.send_next()
@@ -171,6 +187,8 @@
         self.first_heard_starts = {}  # as heard_starts, in any life
         self.first_answered_at = None
         self.report_due = {}  # key of a report -> when its last one was told
+        self.relay_fault = None  # the present RelayFault
+        self.pauses = []  # in which the time limits wait
 
     # To be given by subclasses
 
@@ -186,6 +204,9 @@
         """Tells changes of the list."""
         raise NotImplementedError
 
+    def tell_connection_lost(self, name):
+        """The connections to a task break, as its process has ended."""
+
     def tell_joined(self, proxy, call_rate):
         """Tells that a proxy has joined."""
         raise NotImplementedError
@@ -204,6 +225,20 @@
 
     # The platform's side
 
+    def waited(self, since):
+        """How long the time limits of its proxies have waited since a time."""
+        now = self.fleet.scheduler.now
+        return sum(pause.waited(since, now) for pause in self.pauses)
+
+    def break_call(self):
+        """Decides whether the relay breaks the present call; returns BrokenCall or None."""
+        fault = self.relay_fault
+        if fault is None or self.fleet.random.random() >= fault.share:
+            return None
+        now = self.fleet.scheduler.now
+        self.pauses.append(Pause(now, now + RELAY_PAUSE[fault.kind]))
+        return BrokenCall(fault.kind, self.fleet.random.random() < 0.5)
+
     def on_up(self):
         """The assigner gives its first answer: proxies may join."""
         self.up, self.answered_at = True, self.fleet.scheduler.now
@@ -260,6 +295,7 @@
     def __init__(self, day, make_link):
         self.day, self.scheduler = day, Scheduler(day.seed)
         self.random = random.Random(f"fleet {day.seed}")
+        self.crash_notices = random.Random(f"crash notices {day.seed}")
         self.result = Result("faults", day.seed, "brain")
         self.log = []
         self.links = [make_link(self, rank) for rank in range(day.assigners)]
@@ -396,6 +432,21 @@
                 self.begin_task_fault(fault)
             case days.StreamBreak():
                 self.begin_stream_break(fault)
+            case days.RelayFault():
+                link = self.links[fault.rank]
+                link.relay_fault = fault
+                self.scheduler.call_at(tenths_of_ms(fault.end), setattr, link, "relay_fault", None)
+            case days.SlowChannel():
+                self.begin_slow_channel(fault)
+
+    def begin_slow_channel(self, fault):
+        """A channel sends more slowly for a while; the limits in time grow by the same factor."""
+        link = self.links[fault.rank]
+        usual_rate = link.channel.rate
+        link.channel.rate = usual_rate * fault.factor
+        end = tenths_of_ms(fault.end)
+        link.pauses.append(Pause(self.scheduler.now, end, 1 - fault.factor))
+        self.scheduler.call_at(end, setattr, link.channel, "rate", usual_rate)
 
     def begin_restart(self, fault):
         node = self.nodes[fault.task]
@@ -407,8 +458,22 @@
             node.reschedule_running()
         else:
             node.stop()
+            self.on_process_ended(fault.task)
         self.scheduler.call_later(tenths_of_ms(fault.downtime), self.restart_task, fault.task)
 
+    def on_process_ended(self, name):
+        """The process of a task has ended without a drain: its connections break, and where the days say so
+        the list tells of it, unless the next process has started by then."""
+        for link in self.links:
+            if link.up:
+                link.tell_connection_lost(name)
+        if self.day.list_tells_crashes:
+            entry = ListedTask(name, "gone", self.nodes[name].started_at or None)
+            self.listed[name] = entry
+            delay = tenths_of_ms(self.crash_notices.uniform(*self.day.list_delays.left))
+            for link in self.links:
+                self.scheduler.call_later(delay, self.deliver_entry, link, entry)
+
     def restart_task(self, name):
         """The next process of a task starts cold, and the list tells of it."""
         node = self.nodes[name]
@@ -416,11 +481,18 @@
             return
         if node.up:
             node.stop()
+            self.scheduler.call_later(0, self.on_silent_process_ended, name)
         node.silent.pop("restart", None)
         node.paused.pop("restart", None)
         node.start()
         self.publish(name, "ready", self.day.list_delays.started)
 
+    def on_silent_process_ended(self, name):
+        """A task that was mute runs again: what is sent on its former connections resets them."""
+        for link in self.links:
+            if link.up:
+                link.tell_connection_lost(name)
+
     def begin_replacement(self, fault):
         node = self.nodes[fault.task]
         if not node.up:
--- a/benchmarks/faults/peer_servers.py
+++ b/benchmarks/faults/peer_servers.py
@@ -43,10 +43,21 @@
             self.transport.write(EVENTS_HEAD)
             self.link.add_stream(self.transport)
             return
-        taken = self.link.apply_orders(body)
+        broken = self.link.break_call()
+        taken = self.link.apply_orders(body) if broken is None or broken.executed else 0
+        if broken:
+            self.break_answer(broken)
+            return
         answer = f"<Response><entries><item><taken>{taken}</taken></item></entries></Response>"
         self.answer(b'<?xml version="1.0"?>' + answer.encode(), "text/xml")
 
+    def break_answer(self, broken):
+        """Breaks a call: no answer, one that cannot be read, or the connection ends."""
+        if broken.kind == "break":
+            self.transport.abort()
+        elif broken.kind == "unreadable":
+            self.answer(b"<Response><entries>", "text/xml")
+
     def connection_lost(self, error):
         if self.transport in self.link.streams:
             self.link.streams.remove(self.transport)
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import pathlib
+from types import SimpleNamespace
 
 import pytest
 
-from benchmarks.faults import brain_link, fleet, peer_servers, process_link
+from benchmarks.faults import brain_link, fleet, judge, peer_servers, process_link
 from benchmarks.faults import day as days
 from benchmarks.soak import ASSIGNERS, SPEED_VARIATION
 from garnetpaddle import interface as gp
@@ -101,6 +102,52 @@
     assert violations(played) == []
 
 
+def crash_day(seed, crashes):
+    return days.with_only_crashes(days.draw_day(seed, 0.9, 1), crashes, 1.0)
+
+
+def test_no_task_that_was_down_for_a_second_falls_by_the_lines_of_its_former_life():
+    """Its warm lines stood until its start was listed; excused or not, a task that falls stays down."""
+    falls = {seed: brain_link.play(crash_day(seed, n)).judge.falls for seed, n in ((1, 6), (2, 6), (6, 10))}
+    assert not any(falls.values()), falls
+
+
+def test_processes_let_no_task_fall_that_was_down_for_a_second(tmp_path):
+    assert asyncio.run(process_link.play(crash_day(6, 10), tmp_path)).judge.falls == []
+
+
+@pytest.mark.parametrize("seed", [9301, 9305, 9312])
+def test_the_rules_are_kept_with_relays_that_break_calls_and_channels_that_are_slow(seed):
+    """The queue limit is two seconds of the channel's usual pace, as in the sites' settings."""
+    assert violations(brain_link.play(days.with_relay_faults(draw_unequal_day(seed, 0.7)))) == []
+
+
+@pytest.mark.parametrize(
+    ("ordered_at", "strictest"), [(21_000, 1.0), (19_000, 0.0)], ids=["ordered", "an earlier message"]
+)
+def test_the_strictest_reading_counts_work_of_proxies_whose_removal_is_ordered(ordered_at, strictest):
+    scheduler, delays = Scheduler(1), Delays()
+    link = SimpleNamespace(
+        rank=0, answered_at=0, channel=SimpleNamespace(table_by_proxy={}), waited=lambda since: 0
+    )
+    link.start_heard_at = link.first_heard_at = lambda name, started_at: 20_000
+    link.first_answered_at = 0
+    proxy = SimpleNamespace(
+        number=0, link=link, joined_at=0, last_sender=link, last_message_sent_at=0, last_ordered_by=link
+    )
+    proxy.last_ordered_at = 0
+    strict_judge = judge.Judge(scheduler, delays, [link])
+    strict_judge.proxies = {0: proxy}
+    kind = days.draw_day(1).nodes[0].kind
+    node = judge.JudgedNode(scheduler, "a", kind, "z", started_at=10_000, rules=strict_judge)
+    scheduler.run(20_500)
+    assert not strict_judge.record_cold_work(node, 0, 0.1)
+    scheduler.run(22_000)
+    proxy.last_ordered_at = ordered_at
+    assert strict_judge.record_cold_work(node, 0, 1_000.0)
+    assert (strict_judge.falls[0].knowing, strict_judge.falls[0].strictest) == (0.0, strictest)
+
+
 def test_a_task_let_back_before_it_has_a_line_again_is_called_by_proxies_bound_meanwhile():
     """Their bind told them of a withdrawn task that their table did not hold, and nothing took that back."""
     scheduler = Scheduler(1)
