--- a/benchmarks/faults/process_link.py
+++ b/benchmarks/faults/process_link.py
@@ -163,36 +163,45 @@
     async def send_heartbeats(self, process):
         """Sends heartbeats on one connection until the process is stopped; each has to be answered."""
         reader, writer = await asyncio.open_connection(*self.address)
-        with contextlib.suppress(OSError):
-            while process is self.process:
-                sent_at = time.monotonic()
-                writer.write(b"hb\r\n")
-                answer = await read_answer(reader)
-                if process is not self.process:
-                    break
-                if answer != b"hb_ok\r\n":
-                    self.add_violation("answer", f"a heartbeat got {answer!r}")
-                    break
-                seconds = time.monotonic() - sent_at
-                self.usage.worst_answer_s = max(self.usage.worst_answer_s, seconds)
-                await asyncio.sleep(HEARTBEAT_PERIOD_S)
-        writer.transport.abort()
+        try:
+            await self.exchange_heartbeats(process, reader, writer)
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def exchange_heartbeats(self, process, reader, writer):
+        """Sends the heartbeats and reads their answers."""
+        while process is self.process:
+            sent_at = time.monotonic()
+            writer.write(b"hb\r\n")
+            answer = await read_answer(reader)
+            if process is not self.process:
+                return
+            if answer != b"hb_ok\r\n":
+                self.add_violation("answer", f"a heartbeat got {answer!r}")
+                return
+            seconds = time.monotonic() - sent_at
+            self.usage.worst_answer_s = max(self.usage.worst_answer_s, seconds)
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     async def send_crowd(self, process):
         """Connects strangers that say nothing, half a line or nonsense, until the process is stopped."""
         texts = (b"", b"telemetry si", b"GET / HTTP/1.1\r\n\r\n", b"hb\r\n" * 20, b"\0" * 5_000)
         writers = []
-        while process is self.process:
-            with contextlib.suppress(OSError):
-                for text in texts:
-                    _, writer = await asyncio.open_connection(*self.address)
-                    writer.write(text)
-                    writers.append(writer)
-            while len(writers) > MAX_CROWD:
-                writers.pop(0).transport.abort()
-            await asyncio.sleep(CROWD_PERIOD_S)
-        for writer in writers:
-            writer.transport.abort()
+        try:
+            while process is self.process:
+                with contextlib.suppress(OSError):
+                    for text in texts:
+                        _, writer = await asyncio.open_connection(*self.address)
+                        writer.write(text)
+                        writers.append(writer)
+                while len(writers) > MAX_CROWD:
+                    writers.pop(0).transport.abort()
+                await asyncio.sleep(CROWD_PERIOD_S)
+        finally:
+            for writer in writers:
+                writer.transport.abort()
 
     def measure(self, process):
         """Records what a process holds before it is stopped."""
@@ -208,6 +217,9 @@
         self.measure(process)
         process.send_signal(signal.Signals[signal_name])
         self.run_in_background(self.wait_for_exit(process, signal_name))
+        self.close_collectors()
+
+    def close_collectors(self):
         for writer in self.collectors.values():
             writer.transport.abort()
         self.collectors = {}
@@ -250,6 +262,7 @@
             process.wait()
         for task in self.background:
             task.cancel()
+        self.close_collectors()
         self.relay.close()
         self.agent.close()
         self.output.close()
