The line of a task goes with the first refused probe, not after two probes and a report

Cause: a refused connection proves that the process is gone, but it counted as one failed probe among others: two were needed, or a report over a second later, and where over half of the tasks were down all but a few lines stood as for a fault of the network.

Change: the prober tells refused from unreachable (ECONNREFUSED from anything else). A refused task has no line for 3 s, by when the list tells of the next start; its removal is as urgent as a drain's and shares messages like one; proxies that hold a former life's table are told to keep away from it. task_liveness.py holds the rule. A table whose tasks have all ended keeps its lines.

--- a/benchmarks/faults/brain_link.py
+++ b/benchmarks/faults/brain_link.py
@@ -143,7 +143,7 @@
         """Probes a node; the outcome depends on its faults."""
         node, life = self.fleet.nodes[order.task], self.life
         if not node.up:
-            outcome, elapsed = ("timeout", order.timeout) if node.failed_cold else ("unreachable", 20)
+            outcome, elapsed = ("timeout", order.timeout) if node.failed_cold else ("refused", 20)
         elif node.silent or node.paused:
             outcome, elapsed = "timeout", order.timeout
         elif node.errors and node.random.random() < max(node.errors.values()):
--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -24,6 +24,7 @@
 from garnetpaddle.fault_evidence import EJECTION_EVIDENCE, UNLISTED_EVIDENCE, update_evidence
 from garnetpaddle.share_adjustment import PRIOR_ANSWERS, SMOOTHING_FACTOR, adjust_shares
 from garnetpaddle.state import Batch, Proxy, PushAcknowledgements, Table, Task
+from garnetpaddle.task_liveness import NOTHING_LISTENS, may_have_restarted, process_ended, record_outcome
 from garnetpaddle.task_registry import TaskRegistry
 
 SECOND = 10_000  # tenths of a ms
@@ -74,9 +75,6 @@
 
 # Ejection of faulty tasks and their readmission
 MAX_EJECTED_SHARE = 0.3  # of all shares, while the other tasks answer: they must be able to carry the load
-UNREACHABLE = "unreachable"  # the probe outcome where nothing listens
-# 3 s: within it the list tells that a task which was unreachable has started anew
-RESTART_NOTICE_TENTHS_MS = 30_000
 MAX_UNREACHABLE_SHARE = 0.5  # of the tasks: more that are unreachable are a network fault
 MIN_EJECTION_PERIODS = 3  # report periods of the first ejection, doubled for each further one
 MAX_EJECTION_PERIODS = 24
@@ -529,10 +527,10 @@
         task.probe_successes = task.probe_successes + 1 if ok else 0
         task.unlisted = task.unlisted and not ok  # the list dropped it, but it answers
         if not task.ejected and not (task.slow and event.outcome != "error"):
-            usual_share = self.failing_probe_share() * (event.outcome != UNREACHABLE)
+            usual_share = self.failing_probe_share() * (event.outcome not in NOTHING_LISTENS)
             task.fault_evidence = update_evidence(task.fault_evidence, int(not ok), int(ok), usual_share)
         task.last_probe = event.outcome
-        task.unreachable_at = now if event.outcome == UNREACHABLE else task.unreachable_at
+        record_outcome(now, task, event.outcome)
 
     def on_route_report(self, now, event):
         self.route_calls[event.route] = self.route_calls.get(event.route, 0) + event.calls
@@ -608,7 +606,7 @@
         exempt = [
             task
             for task in observed
-            if task.last_probe == UNREACHABLE and task.reported_at > task.succeeded_at
+            if task.last_probe in NOTHING_LISTENS and task.reported_at > task.succeeded_at
         ]
         exempt = exempt * (len(exempt) <= MAX_UNREACHABLE_SHARE * len(self.ready())) + [
             task for task in observed if task.unlisted
@@ -618,7 +616,7 @@
             if (
                 task.ejected
                 and now >= task.ejected_until
-                and not self.may_have_restarted(now, task)
+                and not may_have_restarted(now, task)
                 and (task.probe_successes >= 2 or not self.parameters.probes_allowed)
             ):
                 task.readmit(EJECTION_EVIDENCE / 2)
@@ -736,13 +734,15 @@
         """A table's lines: task -> weight.
 
         A cold task has none: proxies send all of their calls to what they do not avoid, whatever its weight.
+        Nor has one whose process has ended, as the next one is cold before the list tells of it.
         """
         warm = [task for task in assigned if task.warm(now)]
         healthy = [task for task in warm if not task.ejected]
         settled = [
             task
             for task in healthy
-            if task.id in task.table.weights or not self.may_have_restarted(now, task)
+            if not process_ended(now, task)
+            and (task.id in task.table.weights or not may_have_restarted(now, task))
         ]
         # A failing task is better than none: keep the least suspect.
         least_suspect = sorted(warm, key=lambda task: task.fault_evidence)[:1]
@@ -752,10 +752,6 @@
             for task in tasks
         }
 
-    def may_have_restarted(self, now, task):
-        """Whether a task was unreachable so lately that the list may yet tell of its restart."""
-        return now - task.unreachable_at < RESTART_NOTICE_TENTHS_MS
-
     def select_own_part(self, now, ready):
         """The ready tasks that this assigner orders: all of them, or only a part if binding its proxies to
         tables with all of them would exceed the queue limit or take the channel longer than MAX_BIND_ALL_S.
@@ -936,25 +932,23 @@
         if now - self.first_join_at >= INHERITED_TABLES_TENTHS_MS or any(t.headroom for t in self.own_tasks):
             return False
         departed = sum(name in self.tasks for name in self.departed())
-        changed = departed + len(self.cold_tasks_ready(now))
+        changed = departed + len(self.uncallable_ready_tasks(now))
         return changed <= max(MAX_CHANGED_SHARE * (departed + len(self.ready())), 1)
 
     def push_lines(self, now, table, lines, joining, orders):
         """Orders the lines of a table that differ, most urgent first, as far as pace and channel allow.
 
         Returns how many changes were ordered, and all changes: (urgency, sort key, task, weight). Urgency 0:
-        removes a task that is no longer ready or has restarted, or adds the first lines of a table where none
-        remains. 1: removes an ejected task, or adds one. 2: other changes of weights, and tasks that moved
-        elsewhere.
+        removes a task that is no longer ready, whose process has ended or that has restarted, or adds the
+        first lines of a table where none remains. 1: removes an ejected task, or adds one. 2: other changes
+        of weights, and tasks that moved elsewhere.
         """
         weights = table.weights
         changes = []
         no_line_remains = not any(weight and name in lines for name, weight in weights.items())
         for name, weight in weights.items():
             if name not in lines:
-                deferrable = weight < math.inf and self.lines[name].state == "ready"
-                urgency = deferrable * (1 if self.tasks[name].ejected else 2)
-                changes.append((urgency, -weight, name, 0.0))
+                changes.append((self.removal_urgency(now, name, weight), -weight, name, 0.0))
         for name, weight in lines.items():
             old_weight = weights.get(name, 0.0)
             if not old_weight:
@@ -974,6 +968,12 @@
             self.changed_at[name] = self.changed_at[name] if weight else now
         return sent, changes
 
+    def removal_urgency(self, now, name, weight):
+        """The urgency of removing a line of this weight, as in push_lines."""
+        if weight == math.inf or self.lines[name].state != "ready" or process_ended(now, self.tasks[name]):
+            return 0
+        return 1 if self.tasks[name].ejected else 2
+
     def withdraw_departed(self, now, waiting, keeping, orders):
         """Withdraws tasks that left or restarted from proxies that wait, if these would be bound too late.
 
@@ -1026,7 +1026,7 @@
         Only tasks that have no line in any table and whose line was not removed just now: otherwise the
         withdrawal would cost the bound proxies a message too. One that is repeated goes to all who wait.
         """
-        departed, cold = self.departed(), self.cold_tasks_ready(now)
+        departed, cold = self.departed(), self.uncallable_ready_tasks(now)
         late_before = self.late_before(now)
         if not self.without_line(now, departed, waiting, late_before):
             # Alone, cold tasks may hardly delay binds.
@@ -1062,11 +1062,12 @@
             )
         ]
 
-    def cold_tasks_ready(self, now):
-        """The names of ready tasks that are cold. Proxies that wait for their bind may still call them by the
-        lines that they had when they were warm: an order of an earlier life, or to a stream that broke since,
-        may never have arrived."""
-        return [task.id for task in self.ready() if not task.warm(now)]
+    def uncallable_ready_tasks(self, now):
+        """The names of ready tasks that are cold, or whose process has ended.
+
+        Proxies that wait for their bind may still call them by the lines that they had when they were warm:
+        an order of an earlier life, or to a stream that broke since, may never have arrived."""
+        return [task.id for task in self.ready() if not task.warm(now) or process_ended(now, task)]
 
     def fitting_changes(self, now, changes, table):
         """How many of the sorted changes may be ordered now, by push interval, queue and message cap.
@@ -1116,7 +1117,13 @@
     def cannot_wait(self, now, changes):
         """Whether changes of urgency 0 include a table's first lines, or a removal that has waited long."""
         heard_by = now - MAX_URGENT_WAIT_GRACE_SHARE * self.parameters.drain_grace_period
-        return any(weight or self.changed_at[name] <= heard_by for _, _, name, weight in changes)
+        return any(weight or self.removal_due_at(name) <= heard_by for _, _, name, weight in changes)
+
+    def removal_due_at(self, name):
+        """When it was heard that a task's line has to go."""
+        task = self.tasks.get(name)
+        refused_since = task.refused_since if task else -math.inf
+        return max(self.changed_at[name], refused_since)
 
     def push_blocked(self, now, urgency, table):
         """Whether a push of this urgency to a table is too soon after the last, or near the message cap."""
--- a/garnetpaddle/interface/events.py
+++ b/garnetpaddle/interface/events.py
@@ -50,7 +50,9 @@
     logged_fields = ("task", "elapsed", "outcome", "load")
     task: str
     elapsed: int  # from the probe's start to its outcome
-    outcome: str  # "ok", "error", "full", "timeout", "unreachable", "reset" or "other"
+    # "ok", "error", "full", "timeout", "refused" (the machine says that nothing listens), "unreachable" (no
+    # connection came up for another reason, or it is not known for which), "reset" or "other"
+    outcome: str
     load: dict[str, float]
 
 
--- a/garnetpaddle/net/cold_task_log.py
+++ b/garnetpaddle/net/cold_task_log.py
@@ -16,7 +16,7 @@
 LINE_HISTORY = 60_000  # tenths of a ms: 6 s, twice the usual window of the rule on cold tasks
 FAILED_CHECKS_BEFORE_LOSS = 2  # in a row: one probe may time out at a busy task
 INCONCLUSIVE_OUTCOMES = ("full", "other")  # of a probe: they say nothing about the task
-UNREACHABLE = "unreachable"  # the outcome of a probe where nothing listens
+NOTHING_LISTENS = ("refused", "unreachable")  # the outcomes of a probe that finds no process
 MARKS, LATER_MARKS = 65_536, 32_768  # marks count up and begin again; those of one half are later ones
 TENTHS_OF_MS_PER_SECOND = 10_000
 log = structlog.get_logger()
@@ -151,7 +151,7 @@
 
     def note_probe(self, now, event):
         """Takes over the outcome of a probe that began after the start."""
-        answered = event.outcome != UNREACHABLE
+        answered = event.outcome not in NOTHING_LISTENS
         if answered and event.task in self.unreachable and event.task not in self.cold:
             self.begin(now, event.task, now - event.elapsed)  # the list will tell of its start
         (self.unreachable.discard if answered else self.unreachable.add)(event.task)
--- a/garnetpaddle/net/http.py
+++ b/garnetpaddle/net/http.py
@@ -21,6 +21,7 @@
 
     why: str
     local_fault: bool = False  # this process ran out of descriptors or memory; says nothing about the peer
+    refused: bool = False  # the peer's machine says that nothing listens at the address
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +72,11 @@
     try:
         return Connection(*await with_timeout(timeout, opening), address)
     except (OSError, TimeoutError, UnicodeError) as error:  # UnicodeError: a host name that cannot be encoded
-        return NotSent(f"connect: {failure_reason(error)}", getattr(error, "errno", None) in RESOURCE_ERRORS)
+        return NotSent(
+            f"connect: {failure_reason(error)}",
+            local_fault=getattr(error, "errno", None) in RESOURCE_ERRORS,
+            refused=isinstance(error, ConnectionRefusedError),
+        )
     except asyncio.CancelledError:
         # The connection may have opened in the iteration of the cancellation; nobody else would close it.
         if opening.done() and not opening.cancelled() and not opening.exception():
--- a/garnetpaddle/net/prober.py
+++ b/garnetpaddle/net/prober.py
@@ -78,7 +78,7 @@
                 return self.evaluate(result, connection, target)
         connection = await http.connect(target.address, max(MIN_TIMEOUT, deadline - time.monotonic()))
         if isinstance(connection, http.NotSent):
-            return ProbeResult("other" if connection.local_fault else "unreachable", {})
+            return ProbeResult(connect_outcome(connection), {})
         result = await connection.call("GET", self.path, max(MIN_TIMEOUT, deadline - time.monotonic()))
         return self.evaluate(result, connection, target)
 
@@ -100,3 +100,10 @@
         text = result.body.decode("ascii", "replace").strip()
         load = message_codec.parse_load(text.removeprefix("TEXT").strip())
         return ProbeResult(OUTCOMES_BY_STATUS.get(result.status, "other"), load)
+
+
+def connect_outcome(not_sent):
+    """The outcome of a probe whose connection did not come up."""
+    if not_sent.local_fault:
+        return "other"
+    return "refused" if not_sent.refused else "unreachable"
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -30,7 +30,9 @@
         self.ejections = 0
         self.probe_successes = 0
         self.reported_at = NEVER
-        self.unreachable_at = -math.inf  # the last probe that found nothing listening
+        # The last probe that found nothing listening, and the last one that was refused with the first of the
+        # refused ones before it
+        self.unreachable_at = self.refused_at = self.refused_since = -math.inf
         self.succeeded_at = NEVER
         # Smoothed values: failure_share, mean_tries (per report), mean_latency (of a successful try).
         # fault_evidence is the log-likelihood ratio of a faulty task to one that fails as is usual now.
