The end of a task's idle connection is heard, and the task is probed at once

Cause: a task's death was looked for once a second. The prober keeps a connection to each task, which ends in the moment in which the process does, and nobody read it.

Change: the prober watches its idle connections and tells of their end (TaskConnectionLost); the Brain then probes the task at once, at most once in a probe interval for the sake of a lost connection, as tasks may close idle ones.

Tests: a loopback server that goes away (fails before: nothing is told), the Brain's probe at once and its bound (fail before); a watched connection still serves the next probe.

--- a/benchmarks/faults/brain_link.py
+++ b/benchmarks/faults/brain_link.py
@@ -49,6 +49,10 @@
     def tell_list(self, entries):
         self.queue(gp.TaskListReceived("changes", tuple(self.task_line(entry) for entry in entries)))
 
+    def tell_connection_lost(self, name):
+        event = gp.TaskConnectionLost(name)
+        self.fleet.scheduler.call_later(CONNECTION_LOSS_DELAY, self.queue_for_life, self.life, event)
+
     def tell_joined(self, proxy, call_rate):
         self.queue(gp.ProxyJoined(proxy.number, call_rate, not proxy.has_table, proxy.zone))
 
--- a/benchmarks/faults/peer_servers.py
+++ b/benchmarks/faults/peer_servers.py
@@ -110,6 +110,7 @@
     def __init__(self, node, host):
         self.node, self.host, self.server, self.transports = node, host, None, []
         self.counter, self.opening = LinkCounter(), None
+        self.started_at = node.started_at  # of the process that listens
 
     def make_protocol(self):
         protocol = TaskProtocol(self.counter, self.node)
@@ -125,11 +126,12 @@
         self.opening = None
 
     def update(self):
-        """Opens or closes the port as the node's process starts or ends."""
+        """Opens or closes the port as the node's process starts or ends; a new process opens it anew."""
+        if self.server is not None and (not self.node.up or self.node.started_at != self.started_at):
+            self.close()
+        self.started_at = self.node.started_at
         if self.node.up and self.server is None and self.opening is None:
             self.opening = asyncio.get_running_loop().create_task(self.open())
-        if not self.node.up and self.server is not None:
-            self.close()
 
     def close(self):
         """Stops listening and resets all connections, as when the process ends."""
--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -532,6 +532,14 @@
         task.last_probe = event.outcome
         record_outcome(now, task, event.outcome)
 
+    def on_task_connection_lost(self, now, event):
+        """Probes the task at once, as its process may have ended; at most once in a probe interval, since a
+        task may close idle connections."""
+        task = self.tasks.get(event.task)
+        if task and task.probe_scheduled and now - task.connection_probed_at >= PROBE_INTERVAL_TENTHS_MS:
+            task.connection_probed_at = now
+            self.schedule(now, Brain.send_probe, task)
+
     def on_route_report(self, now, event):
         self.route_calls[event.route] = self.route_calls.get(event.route, 0) + event.calls
 
@@ -545,6 +553,7 @@
         gp.TaskReport: on_task_report,
         gp.RouteReport: on_route_report,
         gp.ProbeFinished: on_probe_finished,
+        gp.TaskConnectionLost: on_task_connection_lost,
         gp.TimerExpired: lambda *_: None,
     }
 
@@ -552,7 +561,7 @@
         """Probes a task and schedules its next probe, while it is one of own_tasks."""
         task.probe_scheduled = self.tasks.get(task.id) is task and task.id in self.own_ids
         if task.probe_scheduled:
-            orders.append(gp.SendProbe(task.id, self.probe_timeout))
+            self.send_probe(now, task, orders)
             suspected = task.ejected or task.fault_evidence > EJECTION_EVIDENCE / 3
             self.schedule(
                 now + (SUSPECT_PROBE_INTERVAL_TENTHS_MS if suspected else PROBE_INTERVAL_TENTHS_MS),
@@ -560,6 +569,9 @@
                 task,
             )
 
+    def send_probe(self, _, task, orders):
+        orders.append(gp.SendProbe(task.id, self.probe_timeout))
+
     def update_shares(self, tasks):
         """Adjusts the shares of the tasks; the weights that follow are not in effect yet."""
         self.effective_at["weights"] = 0
--- a/garnetpaddle/interface/events.py
+++ b/garnetpaddle/interface/events.py
@@ -56,6 +56,15 @@
     load: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True, repr=False)
+class TaskConnectionLost(LogFormat):
+    """An idle connection of the prober to a task has ended, by the task's side or the network."""
+
+    logged_as = "TaskConnectionLost"
+    logged_fields = ("task",)
+    task: str
+
+
 @dataclass(frozen=True, slots=True, repr=False)
 class ProxyJoined(LogFormat):
     logged_as = "ProxyJoined"
@@ -134,6 +143,7 @@
     TaskListReceived
     | TimerExpired
     | ProbeFinished
+    | TaskConnectionLost
     | ProxyJoined
     | ProxyLeft
     | TaskReport
--- a/garnetpaddle/net/http.py
+++ b/garnetpaddle/net/http.py
@@ -3,6 +3,7 @@
 A call returns NotSent, Unconfirmed or Response, which tell how far the request got."""
 
 import asyncio
+import contextlib
 import errno
 import time
 from dataclasses import dataclass
@@ -100,6 +101,12 @@
         """Seconds since the last complete response."""
         return time.monotonic() - self.last_response_at
 
+    async def wait_until_ended(self):
+        """Waits, while no call runs, until the peer ends the connection or sends what nobody asked for."""
+        with contextlib.suppress(OSError):  # a reset
+            await self.reader.read(1)
+        self.close()
+
     def close(self):
         """Aborts the connection."""
         self.writer.transport.abort()
--- a/garnetpaddle/net/prober.py
+++ b/garnetpaddle/net/prober.py
@@ -1,4 +1,5 @@
-"""Health checks of tasks: each SendProbe order results in exactly one ProbeFinished event."""
+"""Health checks of tasks: each SendProbe order results in exactly one ProbeFinished event, and the end of an
+idle connection in a TaskConnectionLost event."""
 
 import asyncio
 import time
@@ -32,16 +33,27 @@
     load: dict[str, float]
 
 
+class IdleConnection(NamedTuple):
+    """A connection that is kept for the next probe, and the asyncio task that waits for its end."""
+
+    connection: http.Connection
+    watcher: asyncio.Task
+
+    def close(self):
+        self.watcher.cancel()
+        self.connection.close()
+
+
 class Prober:
     """Runs probes over persistent connections.
 
-    addresses: task_list_watch.TaskAddresses; publish: receives ProbeFinished; reports: whether tasks report
+    addresses: task_list_watch.TaskAddresses; publish: receives the events; reports: whether tasks report
     their load; capacity: the limit on concurrent probes and open connections together."""
 
     def __init__(self, addresses, publish, reports, capacity):
         self.addresses, self.publish, self.capacity = addresses, publish, capacity
         self.path = LOAD_PATH if reports else ALIVE_PATH
-        self.connections, self.running = {}, set()  # Target -> idle connection; asyncio tasks of probes
+        self.connections, self.running = {}, set()  # Target -> IdleConnection; asyncio tasks of probes
 
     def start(self, order):
         """Starts a probe in the background."""
@@ -71,7 +83,7 @@
     async def probe_target(self, target, timeout):
         """Probes a target. A broken reused connection is no sign of a failed task: retries on a new one."""
         self.close_unused()
-        connection, deadline = self.connections.pop(target, None), time.monotonic() + timeout
+        connection, deadline = await self.take_idle(target), time.monotonic() + timeout
         if connection:
             result = await connection.call("GET", self.path, timeout)
             if isinstance(result, http.Response) or result.why in OUTCOMES_BY_FAILURE:
@@ -82,11 +94,31 @@
         result = await connection.call("GET", self.path, max(MIN_TIMEOUT, deadline - time.monotonic()))
         return self.evaluate(result, connection, target)
 
+    async def take_idle(self, target):
+        """Takes the target's idle connection, if there is one; only the caller reads from it from then on."""
+        idle = self.connections.pop(target, None)
+        if idle is None:
+            return None
+        idle.watcher.cancel()
+        await asyncio.wait({idle.watcher})
+        return idle.connection
+
+    def keep_idle(self, target, connection):
+        """Keeps a connection for the next probe and watches it meanwhile."""
+        watcher = asyncio.get_running_loop().create_task(self.watch(target, connection))
+        self.connections[target] = IdleConnection(connection, watcher)
+
+    async def watch(self, target, connection):
+        """Tells of the end of an idle connection."""
+        await connection.wait_until_ended()
+        del self.connections[target]
+        self.publish(gp.TaskConnectionLost(target.task))
+
     def close_unused(self):
-        """Closes connections that are closed by the peer, idle too long, or the oldest above the capacity."""
-        for target, connection in list(self.connections.items()):
+        """Closes connections that are idle for too long, or the oldest above the capacity."""
+        for target, idle in list(self.connections.items()):
             over_capacity = len(self.connections) + len(self.running) > self.capacity
-            if over_capacity or not connection.is_usable() or connection.idle_seconds() > MAX_IDLE:
+            if over_capacity or idle.connection.idle_seconds() > MAX_IDLE:
                 self.connections.pop(target).close()
 
     def evaluate(self, result, connection, target):
@@ -96,7 +128,7 @@
         if not connection.is_usable() or target in self.connections:
             connection.close()
         else:
-            self.connections[target] = connection
+            self.keep_idle(target, connection)
         text = result.body.decode("ascii", "replace").strip()
         load = message_codec.parse_load(text.removeprefix("TEXT").strip())
         return ProbeResult(OUTCOMES_BY_STATUS.get(result.status, "other"), load)
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -33,6 +33,7 @@
         # The last probe that found nothing listening, and the last one that was refused with the first of the
         # refused ones before it
         self.unreachable_at = self.refused_at = self.refused_since = -math.inf
+        self.connection_probed_at = NEVER  # the last probe for the sake of a lost connection
         self.succeeded_at = NEVER
         # Smoothed values: failure_share, mean_tries (per report), mean_latency (of a successful try).
         # fault_evidence is the log-likelihood ratio of a faulty task to one that fails as is usual now.
--- a/tests/test_log_format.py
+++ b/tests/test_log_format.py
@@ -21,6 +21,7 @@
         gp.ProbeFinished("s-a", 500, "ok", {"in_hand": 2.0}),
         "ProbeAnswered(task='s-a', elapsed=500, outcome='ok', load={'in_hand': 2.0})",
     ),
+    (gp.TaskConnectionLost("s-a"), "TaskConnectionLost(task='s-a')"),
     (
         gp.ProxyJoined(4, 20.0, True, "z"),
         "ProxyJoined(proxy=4, rate=20.0, fresh=True, zone='z', aside=False)",
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -269,10 +269,13 @@
     step, published, addresses = PROBE_RESPONSES[outcome], [], task_list_watch.TaskAddresses()
     timeout = SHORT_TIMEOUT if outcome == "timeout" else LONG_TIMEOUT
 
+    def publish(event):  # the server's end breaks the idle connection: that is another test's matter
+        published.extend([event] * isinstance(event, gp.ProbeFinished))
+
     async def scenario():
         async with ScriptedServer(LOAD_RESPONSE, step, step) as task:
             addresses.by_task["s-a"] = task.address
-            probes = prober.Prober(addresses, published.append, True, 8)
+            probes = prober.Prober(addresses, publish, True, 8)
             for count, seconds in ((1, LONG_TIMEOUT), (2, timeout)):  # the second reuses the connection
                 probes.start(gp.SendProbe("s-a", int(seconds * 10_000)))
                 await wait_until(lambda count=count: len(published) == count)
@@ -287,6 +290,28 @@
     assert set(requests) == {"GET /metrics/load HTTP/1.1"}
 
 
+def test_the_end_of_an_idle_connection_is_told_and_the_next_probe_is_refused():
+    """A task's death was found by its next probe, up to a second later, while its lines stood."""
+    published, addresses = [], task_list_watch.TaskAddresses()
+
+    async def scenario():
+        probes = prober.Prober(addresses, published.append, True, 8)
+        async with ScriptedServer(LOAD_RESPONSE, LOAD_RESPONSE) as task:
+            addresses.by_task["s-a"] = task.address
+            for count in (1, 2):
+                probes.start(gp.SendProbe("s-a", 600_000))
+                await wait_until(lambda count=count: len(published) == count)
+            connections = len(task.writers)
+        await wait_until(lambda: len(published) == 3)
+        probes.start(gp.SendProbe("s-a", 600_000))
+        await wait_until(lambda: len(published) == 4)
+        return connections
+
+    assert asyncio.run(scenario()) == 1  # the watched connection served the second probe
+    assert published[2] == gp.TaskConnectionLost("s-a")
+    assert [event.outcome for event in published if event != published[2]] == ["ok", "ok", "refused"]
+
+
 def test_a_connection_that_times_out_is_not_refused(monkeypatch):
     """A task that this assigner cannot reach may well answer the proxies."""
 
--- a/tests/test_task_liveness.py
+++ b/tests/test_task_liveness.py
@@ -1,6 +1,7 @@
 """Decisions on tasks whose process has ended before the task list tells of it."""
 
-from helper import BrainHarness
+import pytest
+from helper import BrainHarness, list_changes, task_line
 
 from garnetpaddle import interface as gp
 
@@ -82,3 +83,35 @@
     refuse(harness, "a")
     harness.advance(0.1)
     assert any("withdraw a" in entry for entry in harness.trace), harness.trace
+
+
+def count_probes(harness, task):
+    return sum(order == gp.SendProbe(task, order.timeout) for order in harness.last_orders if is_probe(order))
+
+
+def is_probe(order):
+    return isinstance(order, gp.SendProbe)
+
+
+def test_a_lost_connection_leads_to_a_probe_at_once_but_not_to_one_for_each():
+    """A task that closes idle connections is probed twice as often at most."""
+    harness = BrainHarness()
+    harness.advance(4)
+    probes = []
+    for _ in range(5):
+        harness.handle(gp.TaskConnectionLost("a"), gp.TaskConnectionLost("unknown"))
+        probes.append(count_probes(harness, "a"))
+    harness.now += 10_000
+    harness.handle(gp.TaskConnectionLost("a"))
+    probes.append(count_probes(harness, "a"))
+    assert probes[:5] == [1, 0, 0, 0, 0] and probes[5] >= 1
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_a_lost_connection_of_a_task_that_left_leads_to_no_probe(state):
+    harness = BrainHarness()
+    harness.advance(4)
+    harness.handle(list_changes(task_line("a", state)))
+    harness.advance(2)
+    harness.handle(gp.TaskConnectionLost("a"))
+    assert not count_probes(harness, "a")
