A new life of an assigner probes each task at once, not spread over a second

What callers saw: most falls of cold tasks come within 4 s of an assigner's restart, amid tasks that die meanwhile; the new life knew of no death for up to a second more.

Cause: the first probes of listed tasks were spread over a whole probe interval.

Change: the first ones are spread over 0.1 s, later ones over the interval as before. One probe more a task and start.

Tests: one new case, fails before.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -81,6 +81,7 @@
 REPORT_VALID_ROUNDS = 3  # rounds of reports for which a report remains valid
 PROBE_TIMEOUT_SLO_RATIO = 0.5  # of the shortest SLO time: a task that takes as long answers calls late
 PROBE_INTERVAL_TENTHS_MS = 10_000  # 1 s
+FIRST_PROBE_SPREAD_TENTHS_MS = 1_000  # 0.1 s: of the first probes of tasks that are listed together
 SUSPECT_PROBE_INTERVAL_TENTHS_MS = 4_000  # 0.4 s for a suspected task
 PROBATION_SHARE_RATIO = 0.25  # of the average: most that a readmitted task carries until the test clears it
 SINGLE_FAULT_SHARE = 0.25  # of the tasks: one fault strikes fewer, so more that fail together mean overload
@@ -569,6 +570,11 @@
                 task,
             )
 
+    def probe_first(self, now, task, orders):
+        """Probes a task that has just been listed, and spreads later probes over the interval."""
+        self.send_probe(now, task, orders)
+        self.schedule(now + int(self.uniform(0, PROBE_INTERVAL_TENTHS_MS)), Brain.probe, task)
+
     def send_probe(self, _, task, orders):
         orders.append(gp.SendProbe(task.id, self.probe_timeout))
 
@@ -688,7 +694,8 @@
         self.own_ids = frozenset(t.id for t in self.own_tasks)
         for task in [t for t in self.own_tasks if self.parameters.probes_allowed and not t.probe_scheduled]:
             task.probe_scheduled = True
-            self.schedule(now + int(self.uniform(0, PROBE_INTERVAL_TENTHS_MS)), Brain.probe, task)
+            delay = int(self.uniform(0, FIRST_PROBE_SPREAD_TENTHS_MS))
+            self.schedule(now + delay, Brain.probe_first, task)
         assigned = self.assign_to_tables(now, self.own_tasks)
         lines = {table: self.table_lines(now, tasks) for table, tasks in assigned.items()}
         # A table without a warm task holds those of another one: its proxies have nobody else to call.
--- a/tests/test_task_liveness.py
+++ b/tests/test_task_liveness.py
@@ -93,6 +93,15 @@
     return isinstance(order, gp.SendProbe)
 
 
+def test_each_task_is_probed_at_once_after_a_start():
+    """The first probes were spread over a second, in which a new life knew of no death."""
+    harness = BrainHarness("abcdefgh")
+    probed = {order.task for order in harness.last_orders if is_probe(order)}
+    harness.advance(0.1)
+    probed |= {order.task for order in harness.last_orders if is_probe(order)}
+    assert probed == set("abcdefgh")
+
+
 def test_a_lost_connection_leads_to_a_probe_at_once_but_not_to_one_for_each():
     """A task that closes idle connections is probed twice as often at most."""
     harness = BrainHarness()
