Lines of tasks that have ended are not ordered again as the last other one ends

Cause: where no settled task is left a table held all healthy ones. Since a refused task loses its line at once, that ordered the lines of all that had ended anew, 0.5 ms after one of them was listed as started.

Change: where nothing is settled the lines that still stand stay; only where there is none the least suspect task gets one.

Test: one new case, fails before.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -763,9 +763,11 @@
             if not process_ended(now, task)
             and (task.id in task.table.weights or not may_have_restarted(now, task))
         ]
-        # A failing task is better than none: keep the least suspect.
+        # Where nothing else is left the lines that stand stay; new ones would meet processes that have just
+        # started. A failing task is better than none: keep the least suspect.
+        standing = [task for task in healthy if task.id in task.table.weights]
         least_suspect = sorted(warm, key=lambda task: task.fault_evidence)[:1]
-        tasks = settled or healthy or least_suspect
+        tasks = settled or standing or least_suspect
         return {
             task.id: min(task.share, PROBATION_SHARE_RATIO) if task.on_probation else task.share
             for task in tasks
--- a/tests/test_task_liveness.py
+++ b/tests/test_task_liveness.py
@@ -47,6 +47,16 @@
     assert lines(harness)
 
 
+def test_the_last_task_that_is_refused_brings_no_line_of_another_one_back():
+    """The lines of all that had ended were ordered again and met the first process that had started."""
+    harness = BrainHarness()
+    harness.advance(4)
+    for name in "abcd":
+        refuse(harness, name)
+        harness.advance(0.3)
+    assert lines(harness) == {"d"}
+
+
 def test_a_refused_task_has_no_line_until_the_list_could_tell_of_its_restart():
     harness = BrainHarness()
     harness.advance(4)
