--- a/garnetpaddle/front_ends/connection_manager.py
+++ b/garnetpaddle/front_ends/connection_manager.py
@@ -130,6 +130,7 @@
         session, decoder = create_session(number, host, now)
         connection = Connection(number, reader, writer, session, decoder, now)
         self.connections[number] = connection
+        writer.transport.max_size = READ_SIZE  # asyncio would take 256 KiB at a time from each client
         why = "closed"
         try:
             self.enforce_connection_limit(connection)
--- a/garnetpaddle/net/listener.py
+++ b/garnetpaddle/net/listener.py
@@ -13,7 +13,7 @@
 MAX_COLLECTOR_LINE = 1 << 20  # bytes: the longest message of the protocol
 MAX_UNKNOWN_PEER_LINE = 4 << 10  # bytes: before `telemetry` only short lines are valid, and peers may be many
 MAX_UNREAD = 64 << 10  # bytes of responses that a peer may leave unread before its connection is closed
-READ_SIZE = 64 << 10  # bytes
+READ_SIZE = 16 << 10  # bytes: each of hundreds of peers may have a few times as much in memory
 ACCEPTED_PER_ITERATION = 2  # connections accepted in one loop iteration; closing one takes several iterations
 ACCEPT_BACKLOG = 512  # connections that the kernel may queue
 SWEEP_PERIOD = 0.25  # s between deadline checks
@@ -110,6 +110,7 @@
         self.serial += 1
         number, peer = self.serial, Peer(writer, loop.time())
         self.peers[number] = peer
+        writer.transport.max_size = READ_SIZE  # asyncio would take 256 KiB at a time from each peer
         try:
             self.enforce_capacity(number)
             await self.read_lines(peer, reader, loop.time)
--- a/garnetpaddle/net/message_codec.py
+++ b/garnetpaddle/net/message_codec.py
@@ -16,6 +16,8 @@
 MAX_COUNT = int(gp.LARGEST_FIGURE)
 MAX_COUNT_DIGITS = 20  # digits that are converted; the rest of a longer number is cut off
 MAX_LOGGED_KIND = 40  # characters
+# Of a line, and of a load: messages have a few, and the event loop stands still while a line is parsed.
+MAX_FIELDS = 1_024
 KINDS = frozenset({"hb", "telemetry", "upstream_stats", "client_stats", "attach", "detach", "done"})
 
 
@@ -68,9 +70,12 @@
 
 
 def parse_fields(line):
-    """The name=value pairs of a line; raises ValueError for a name with two different values."""
+    """The name=value pairs of a line; raises ValueError for too many, or a name with two different values."""
     fields = {}
-    for name, value in FIELD.findall(line):
+    for count, match in enumerate(FIELD.finditer(line)):
+        if count == MAX_FIELDS:
+            raise ValueError(f"over {MAX_FIELDS} fields")
+        name, value = match.groups()
         if fields.setdefault(name.decode(), value.decode()) != value.decode():
             raise ValueError(f"field {name.decode()!r:.40} has two values")
     return fields
@@ -191,8 +196,11 @@
 def parse_load(text, strict=False):
     """Parses a load report, `name:value` pairs separated by commas (`name=value` in a probe's body).
 
-    An invalid value is left out or, if strict, raises ValueError."""
-    pairs = (pair.replace("=", ":").partition(":") for pair in text.split(",") if pair.strip())
+    An invalid value is left out or, if strict, raises ValueError; so is what exceeds MAX_FIELDS values."""
+    texts = text.split(",", MAX_FIELDS)
+    if strict and len(texts) > MAX_FIELDS:
+        raise ValueError(f"a load of over {MAX_FIELDS} values")
+    pairs = (pair.replace("=", ":").partition(":") for pair in texts[:MAX_FIELDS] if pair.strip())
     values = {}
     for name, _, value in pairs:
         try:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -300,3 +300,14 @@
     (tmp_path / "half.json").write_text('{"name":')
     with pytest.raises(configuration.ConfigurationError, match="ROUTER_CONFIG"):
         configuration.read(str(tmp_path / "half.json"), {})
+
+
+@pytest.mark.parametrize("part", ["fields", "load"])
+def test_a_report_of_very_many_short_fields_is_refused_before_all_are_read(part):
+    """The event loop stood still for 0.4 s for each such line, and heartbeats were answered late."""
+    report = "upstream_stats site=a target=s-a count=9 fail=1 mean=41.7 over=1000.0"
+    short = [f"{number:x}" for number in range(100_000)]
+    more = " ".join(f"{name}=1" for name in short) if part == "fields" else ",".join(f"{n}:1" for n in short)
+    line = f"{report} {more}" if part == "fields" else f"{report} util={more}"
+    message = message_codec.parse_line(memoryview(line.encode()), message_codec.KnownNames({}))
+    assert isinstance(message, message_codec.InvalidMessage) and "over 1024" in message.why
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -352,6 +352,35 @@
         return streams
 
 
+def test_a_peer_that_sends_an_endless_line_takes_little_memory():
+    """asyncio took 256 KiB at a time from each of hundreds of peers, whatever their lines may hold."""
+    most_read = []
+
+    async def scenario():
+        async with ListenerServer([].append) as server:
+            splitter = listener.LineSplitter.split
+
+            def split(lines, chunk):
+                most_read.append(len(chunk) + sum(len(p.lines.rest) for p in server.listener.peers.values()))
+                return splitter(lines, chunk)
+
+            listener.LineSplitter.split = split
+            try:
+                reader, writer = await server.join(b"x" * (1 << 20))
+                await read_to_end(reader)
+                sizes = {peer.writer.transport.max_size for peer in server.listener.peers.values()}
+            finally:
+                listener.LineSplitter.split = splitter
+            reader, writer = await server.join()
+            await wait_until(lambda: server.listener.peers)
+            await asyncio.sleep(0)
+            sizes |= {peer.writer.transport.max_size for peer in server.listener.peers.values()}
+            return sizes
+
+    assert asyncio.run(scenario()) == {16 << 10}
+    assert max(most_read) <= 16 << 10
+
+
 async def read_to_end(reader):
     """What is received until the connection ends, also by a reset."""
     received = b""
