A lost removal of a cold task's line is ordered again at once, not as the least urgent change

The report's status lines say waiting_removals=0; this kind was not counted.

Cause: an order that is lost is marked by a weight of 0, which says that the line may stand. Its removal was urgent only while the mark of a restarted task stood or the list said that it leaves; a cold task is ready, so its lost removal went with the weights, behind a busy channel.

Change: any line of a cold task is removed as urgently as a drain's; waiting_removals counts the same lines.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -990,10 +990,15 @@
         return sent, changes
 
     def removal_urgency(self, now, name, weight):
-        """The urgency of removing a line of this weight, as in push_lines."""
-        if weight == math.inf or self.lines[name].state != "ready" or process_ended(now, self.tasks[name]):
+        """The urgency of removing a line of this weight, as in push_lines.
+
+        A line of a cold task is left over from its former life, also where the order to remove it is lost."""
+        if weight == math.inf or self.lines[name].state != "ready":
+            return 0
+        task = self.tasks[name]
+        if process_ended(now, task) or not task.warm(now):
             return 0
-        return 1 if self.tasks[name].ejected else 2
+        return 1 if task.ejected else 2
 
     def withdraw_departed(self, now, waiting, keeping, orders):
         """Withdraws tasks that left or restarted from proxies that wait, if these would be bound too late.
--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -1,7 +1,5 @@
 """Log lines on what the Brain is told and what it orders: state transitions, not single calls or weights."""
 
-import math
-
 import structlog
 
 from garnetpaddle import interface as gp
@@ -34,7 +32,7 @@
         if now >= self.next_status_at:
             self.next_status_at = now + STATUS_PERIOD
             self.forget_warm(now)
-            self.log_status()
+            self.log_status(now)
 
     def log_list(self, now, events):
         """Logs each changed entry of the task list, and the size of a full list."""
@@ -126,7 +124,7 @@
             if now - started_at < self.warm_after
         }
 
-    def log_status(self):
+    def log_status(self, now):
         """Logs what the Brain believes of the load, and the state of its channel."""
         brain = self.brain
         log.info(
@@ -143,14 +141,15 @@
                 for proxy in brain.unbound_proxies.values()
             ),
             queued_lines=round(brain.queue),
-            waiting_removals=self.waiting_removals(),
+            waiting_removals=self.waiting_removals(now),
             **self.cold_task_log.status(),
         )
 
-    def waiting_removals(self):
-        """The lines of tasks that drain, left or restarted whose removal has not been ordered."""
+    def waiting_removals(self, now):
+        """The lines of tasks that drain, left, restarted or are cold whose removal has not been ordered, or
+        whose order is lost."""
         return sum(
-            weight == math.inf or self.brain.lines[name].state != "ready"
+            self.brain.removal_urgency(now, name, weight) == 0
             for table in self.brain.tables
             for name, weight in table.weights.items()
         )
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -122,6 +122,12 @@
     assert violations(brain_link.play(days.with_relay_faults(draw_unequal_day(seed, 0.7)))) == []
 
 
+def test_no_cold_task_is_pushed_over_where_the_call_that_removes_its_line_is_lost():
+    """The removal was repeated as the least urgent change, 5 s later."""
+    day = days.with_relay_faults(days.with_late_crashes(draw_unequal_day(9501, 0.7)))
+    assert violations(brain_link.play(day)) == []
+
+
 @pytest.mark.parametrize(
     ("ordered_at", "strictest"), [(21_000, 1.0), (19_000, 0.0)], ids=["ordered", "an earlier message"]
 )
--- a/tests/test_task_liveness.py
+++ b/tests/test_task_liveness.py
@@ -95,6 +95,18 @@
     assert any("withdraw a" in entry for entry in harness.trace), harness.trace
 
 
+@pytest.mark.parametrize("perhaps", [False, True], ids=["not carried out", "in doubt"])
+def test_a_removal_of_a_restarted_tasks_line_that_is_lost_is_ordered_again_at_once(perhaps):
+    """It counted as a change of a weight, the least urgent, and waited for seconds behind a busy channel."""
+    harness = BrainHarness()
+    harness.advance(4)
+    harness.handle(list_changes(task_line("a", started=3.9)))
+    harness.brain.tables[0].pushed_at[2] = harness.now
+    harness.trace.clear()
+    harness.lose_last_orders(perhaps)
+    assert any("a=0" in entry for entry in harness.trace), harness.trace
+
+
 def count_probes(harness, task):
     return sum(order == gp.SendProbe(task, order.timeout) for order in harness.last_orders if is_probe(order))
 
