--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -128,6 +128,17 @@
     assert violations(brain_link.play(day)) == []
 
 
+@pytest.mark.parametrize("seed", [9538, 9541])
+def test_no_drain_is_late_amid_crashes_broken_calls_and_slow_channels(seed):
+    day = days.with_relay_faults(days.with_late_crashes(draw_unequal_day(seed, 0.7)))
+    assert violations(brain_link.play(day)) == []
+
+
+def test_no_task_falls_that_was_mute_or_down_as_its_assigner_restarted():
+    """Nothing refuses a connection while a task is mute, and a new life knows of no death before its start."""
+    assert brain_link.play(draw_unequal_day(9321, 0.7)).judge.falls == []
+
+
 @pytest.mark.parametrize(
     ("ordered_at", "strictest"), [(21_000, 1.0), (19_000, 0.0)], ids=["ordered", "an earlier message"]
 )
