--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -576,6 +576,7 @@
         self.schedule(now + int(self.uniform(0, PROBE_INTERVAL_TENTHS_MS)), Brain.probe, task)
 
     def send_probe(self, _, task, orders):
+        """Probes a task once."""
         orders.append(gp.SendProbe(task.id, self.probe_timeout))
 
     def update_shares(self, tasks):
--- a/garnetpaddle/net/prober.py
+++ b/garnetpaddle/net/prober.py
@@ -40,6 +40,7 @@
     watcher: asyncio.Task
 
     def close(self):
+        """Closes the connection; its end is not told."""
         self.watcher.cancel()
         self.connection.close()
 
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -135,7 +135,7 @@
 
 
 def test_no_task_falls_that_was_mute_or_down_as_its_assigner_restarted():
-    """Nothing refuses a connection while a task is mute, and a new life knows of no death before its start."""
+    """Nothing refuses a connection while a task is mute; a new life knows of no death before its start."""
     assert brain_link.play(draw_unequal_day(9321, 0.7)).judge.falls == []
 
 
