--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -985,9 +985,10 @@
     # The run
 
     async def play_to_the_end(self):
-        """Plays within the limit of a case; SIGTERM ends it, and all that it started."""
+        """Plays within the limit of a case; a signal to end ends it, and all that it started."""
         playing = asyncio.ensure_future(self.play())
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         async with asyncio.timeout(RUN_LIMIT):
             await playing
 
