--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -13,6 +13,7 @@
 import collections
 import contextlib
 import copy
+import ctypes
 import json
 import logging
 import os
@@ -31,6 +32,7 @@
 START_SLACK = 1.0  # s after the assigner's first answer before which no time limit starts
 READY_TIMEOUT = 30.0  # s in which an assigner has to be ready
 CONNECTIONS_PER_ADDRESS = 32
+PARENT_DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of Linux, the same on every kind of machine
 RUN_LIMIT = 110.0  # s for a whole case
 IDLE_CLOSE = 10.0  # s after which the relay closes an idle connection
 KEEP_ALIVE = 1.0  # s between the signs of life of an event stream
@@ -584,6 +586,11 @@
         self.queue = kept
 
 
+def end_with_parent():
+    """Has the kernel end this process when the script dies, even by SIGKILL; runs in the child."""
+    ctypes.CDLL(None).prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
 class Assigner:
     """The program under review, as a process."""
 
@@ -635,6 +642,7 @@
             stdout=self.log,
             stderr=self.log,
             start_new_session=True,
+            preexec_fn=end_with_parent,
         )
         self.ending = False
         self.platform.record.note("start", f"assigner, life {self.lives}")
