An unanswered request is repeated only once the relay answers a trial that reaches nobody

Cause: the sender gave an unconfirmed request back at once, the Brain ordered the same again, and each of the 16 tries in 6 s may have been a message to every proxy of the table.

Change: after an unconfirmed request the sender tries the relay with a fence that reaches no proxy, with the backoff it had, and reports the loss once one is answered. A spell leaves one message in doubt instead of one for each try; the queue's estimate gains by the same. A connection that never came up leaves nothing in doubt and is retried as before.

--- a/garnetpaddle/net/order_codec.py
+++ b/garnetpaddle/net/order_codec.py
@@ -131,6 +131,11 @@
     return [EncodedOrder(fence.order, fence.text[:-1] + "0") for fence in fences] + remaining
 
 
+def trial_request(marks):
+    """A request that changes nothing: its fence reaches no proxy, as it holds no other order."""
+    return [EncodedOrder(gp.RequestAcknowledgement(0, False), f"fence,{marks.offset},0")]
+
+
 def without_fence(request):
     """The orders of a request but its fence."""
     return [encoded for encoded in request if not isinstance(encoded.order, gp.RequestAcknowledgement)]
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -42,6 +42,9 @@
             await asyncio.sleep(0.005)
 
 
+BIND_LIMIT = 5.0  # s in which a named proxy has to be bound
+
+
 class FakeRelay:
     """A relay at any number of addresses: keeps the ordered tables, bindings and withdrawals of its proxies.
 
@@ -56,6 +59,7 @@
         self.responding, self.streaming = asyncio.Event(), asyncio.Event()
         self.responding.set()
         self.streaming.set()
+        self.names_one_by_one = False  # an event stream names a proxy once the one before it has been bound
 
     def listen(self):
         return ScriptedServer(
@@ -80,13 +84,23 @@
         self.stream_request_count += 1
         await self.streaming.wait()
         writer.write(CHUNKED_HEAD)
-        writer.write(b"".join(chunk(self.attach_event(proxy)) for proxy in self.joined))
+        if self.names_one_by_one:
+            await self.name_one_by_one(writer)
+        else:
+            writer.write(b"".join(chunk(self.attach_event(proxy)) for proxy in self.joined))
         self.streams.append(writer)
         while not writer.is_closing():
             if self.streaming.is_set():
                 writer.write(chunk(":\n\n"))
             await asyncio.sleep(KEEPALIVE_INTERVAL)
 
+    async def name_one_by_one(self, writer):
+        """Writes the joined proxies, each after the bind of the one before it."""
+        for proxy in self.joined:
+            binds = self.count_orders(f"attach,{proxy},")
+            writer.write(chunk(self.attach_event(proxy)))
+            await wait_within(BIND_LIMIT, lambda p=proxy, n=binds: self.count_orders(f"attach,{p},") > n)
+
     def send_events(self, *events):
         if self.streaming.is_set():
             for writer in self.streams:
