Orders of an unanswered request that a proxy has acknowledged are not reported as lost

Need: a request whose answer got lost, but which was carried out, was ordered again although `done` arrived for its mark on the sound event stream: one more message to each proxy, for nothing.

Change: the relay carries a request out as though it had been answered, or not at all, so one acknowledgement of its mark proves it up to an order that the relay could not use, which is a bind of a proxy that has left at the earliest. A bind is proved by its own proxy. The sender leaves the proved orders out of its report; batches that took several requests are reported as before.

Measured: test_orders_that_a_proxy_has_acknowledged_are_not_reported_as_lost failed before in both forms; the test of an earlier batch's mark guards the other side.

--- a/benchmarks/faults/brain_link.py
+++ b/benchmarks/faults/brain_link.py
@@ -5,13 +5,16 @@
 from garnetpaddle import boot
 from garnetpaddle import interface as gp
 from garnetpaddle.brain import Brain
+from garnetpaddle.net import order_codec
+from garnetpaddle.net.order_sender import BACKOFF, RESPONSE_TIMEOUT
+from garnetpaddle.rehearsal.model import tenths_of_ms
 
 EPOCH = 10**9  # the Brain's time at the start, not 0: a start time of 0 means long ago
 BATCH_WINDOW = 50  # 5 ms: events within it form one batch
 STARTUP_TIME = 1_500  # 0.15 s from the start of a process to its first answer
 ORDER_DELAY = 20  # 2 ms until orders are with the relay
-# Until the assigner's sender gives up a broken call: the answer is awaited, and a pause follows
-GIVE_UP_DELAY = {"break": 1_000, "silent": 3_500, "unreadable": 1_000}
+# Until the assigner's sender takes a broken call for unanswered
+ANSWER_WAIT = {"break": 0, "silent": tenths_of_ms(RESPONSE_TIMEOUT), "unreadable": 0}
 CONNECTION_LOSS_DELAY = 10  # 1 ms until an assigner hears that a task's connections have ended
 SEEDS_PER_DAY = 1_000
 
@@ -23,6 +26,8 @@
         super().__init__(fleet, rank)
         self.brain, self.pending, self.batch_scheduled = None, [], False
         self.calls_behind = None  # the batches of orders behind a broken call, if there is one
+        self.marks = order_codec.MarkTranslator(0)
+        self.consecutive_failures = 0  # of calls
 
     def start(self):
         self.fleet.scheduler.call_later(STARTUP_TIME, self.begin_life, self.life)
@@ -33,6 +38,7 @@
         parameters = boot.derive_parameters(settings.decode(settings.settings(self.fleet.day, self.rank)))
         seed = (self.fleet.day.seed * len(self.fleet.links) + self.rank) * SEEDS_PER_DAY + self.life
         self.brain, self.pending, self.calls_behind = Brain(parameters, seed), [], None
+        self.marks, self.consecutive_failures = order_codec.MarkTranslator(0), 0
         lines = tuple(self.task_line(entry) for entry in self.told.values())
         self.queue(gp.TaskListReceived("stale", lines))
         self.on_up()
@@ -66,7 +72,9 @@
             self.queue(gp.RouteReport(proxy, route, counts.calls, counts.unanswered, span))
 
     def on_orders_applied(self, number, mark, elapsed):
-        self.queue(gp.OrdersApplied(number, mark, elapsed))
+        event = gp.OrdersApplied(number, mark, elapsed)
+        _ = self.marks.from_wire(event)
+        self.queue(event)
 
     def queue(self, event):
         """Queues an event for the next batch."""
@@ -112,19 +120,41 @@
         if self.calls_behind is not None:
             self.calls_behind.append(orders)
             return
+        for order in orders:
+            if isinstance(order, gp.RequestAcknowledgement):
+                _ = self.marks.to_wire(order.mark)
         if broken := self.break_call():
             self.calls_behind = []
-            delay = GIVE_UP_DELAY[broken.kind]
-            self.fleet.scheduler.call_later(delay, self.give_up_call, life, orders)
+            self.call_later_after_failure(broken, self.try_relay, life, orders)
+        else:
+            self.consecutive_failures = 0
         if broken is None or broken.executed:
             self.apply(orders)
 
-    def give_up_call(self, life, orders):
-        """The sender reports a broken call as in doubt and all behind it as not sent."""
+    def call_later_after_failure(self, broken, action, *arguments):
+        """Does something once the sender's backoff after a broken call is over."""
+        backoff = tenths_of_ms(BACKOFF[min(self.consecutive_failures, len(BACKOFF) - 1)])
+        self.consecutive_failures += 1
+        self.fleet.scheduler.call_later(ANSWER_WAIT[broken.kind] + backoff, action, *arguments)
+
+    def try_relay(self, life, orders):
+        """The sender tries the relay with a call that changes nothing, until one is answered."""
         if life != self.life:
             return
+        if broken := self.break_call():
+            self.call_later_after_failure(broken, self.try_relay, life, orders)
+        else:
+            self.report_broken_call(orders)
+
+    def report_broken_call(self, orders):
+        """The sender reports a broken call as in doubt, but for what proxies have acknowledged, and all
+        behind it as not sent."""
         behind, self.calls_behind = self.calls_behind, None
-        self.queue(gp.OrdersLost(tuple(orders), True))
+        request = sorted(orders, key=lambda order: not isinstance(order, gp.RequestAcknowledgement))
+        encoded = [order_codec.EncodedOrder(order, "") for order in request]
+        in_doubt = tuple(lost.order for lost in order_codec.unconfirmed_orders(encoded, self.marks))
+        if in_doubt:
+            self.queue(gp.OrdersLost(in_doubt, True))
         for batch in behind:
             self.queue(gp.OrdersLost(tuple(batch), False))
 
--- a/garnetpaddle/net/order_codec.py
+++ b/garnetpaddle/net/order_codec.py
@@ -49,9 +49,12 @@
 
     def __init__(self, seed):
         self.offset, self.sent = seed % MARK_COUNT, {}
+        # The brain's mark that was sent last, and the proxies that have acknowledged it
+        self.last_sent, self.last_acknowledged_by = None, set()
 
     def to_wire(self, mark):
         """The wire mark for a mark of the brain; remembers it as sent."""
+        self.last_sent, self.last_acknowledged_by = mark, set()
         mark = (mark + self.offset) % MARK_COUNT
         self.sent.pop(mark, None)
         self.sent[mark] = True
@@ -63,7 +66,14 @@
         """An OrdersApplied event with the brain's mark; None if this process never sent the mark."""
         if event.mark not in self.sent:
             return None
-        return gp.OrdersApplied(event.proxy, (event.mark - self.offset) % MARK_COUNT, event.elapsed)
+        mark = (event.mark - self.offset) % MARK_COUNT
+        if mark == self.last_sent:
+            self.last_acknowledged_by.add(event.proxy)
+        return gp.OrdersApplied(event.proxy, mark, event.elapsed)
+
+    def acknowledged_by(self, mark):
+        """The proxies that have acknowledged the brain's mark, if it is the one that was sent last."""
+        return self.last_acknowledged_by if mark == self.last_sent else frozenset()
 
 
 def encode_order(order, routes, marks):
@@ -141,6 +151,25 @@
     return [encoded for encoded in request if not isinstance(encoded.order, gp.RequestAcknowledgement)]
 
 
+def unconfirmed_orders(request, marks):
+    """The orders of a whole batch without a response that may not have been executed.
+
+    An acknowledgement of its mark proves that the relay executed it, up to an order that it could not use:
+    at the earliest a bind, of a proxy that has left. A bind is proved by its own proxy."""
+    fences = [encoded.order for encoded in request if isinstance(encoded.order, gp.RequestAcknowledgement)]
+    acknowledged_by = marks.acknowledged_by(fences[0].mark) if fences else frozenset()
+    if not acknowledged_by:
+        return request
+    first_bind = next(
+        (k for k, encoded in enumerate(request) if isinstance(encoded.order, gp.BindProxy)), len(request)
+    )
+    return [
+        encoded
+        for encoded in request[first_bind:]
+        if not (isinstance(encoded.order, gp.BindProxy) and encoded.order.proxy in acknowledged_by)
+    ]
+
+
 def request_body(request):
     """The form body of a request."""
     changes = ";".join(encoded.text for encoded in request)
--- a/garnetpaddle/net/order_sender.py
+++ b/garnetpaddle/net/order_sender.py
@@ -75,10 +75,13 @@
         where its request holds the whole batch, as it says nothing of messages from other requests.
         """
         in_doubt = isinstance(result, http.Unconfirmed) or partly_sent
-        if in_doubt and (partly_sent or later_requests):
+        whole_batch = not (partly_sent or later_requests)
+        await self.recover(result)
+        if in_doubt and whole_batch:
+            request = order_codec.unconfirmed_orders(request, self.marks)
+        elif in_doubt:
             request = order_codec.without_fence(request)
             later_requests = [order_codec.without_fence(later) for later in later_requests]
-        await self.recover(result)
         self.report_lost(request, in_doubt)
         self.report_lost(list(itertools.chain.from_iterable(later_requests)), in_doubt)
         while self.queue:
--- a/tests/test_order_sender.py
+++ b/tests/test_order_sender.py
@@ -91,3 +91,55 @@
     assert [request for request, _ in itertools.groupby(run.requests)] == [first, trial, again]
     assert run.requests.count(first) == run.requests.count(again) == 1 and run.requests.count(trial) >= 6
     assert run.published == [gp.OrdersLost((MARK, ORDER_A), True), gp.OrdersLost((ORDER_B,), False)]
+
+
+def answer_after_acknowledgement(run):
+    """A step that answers a call after proxy 4 has acknowledged the mark."""
+
+    def step():
+        run.marks.from_wire(gp.OrdersApplied(4, MARK.mark, 0))
+        return accepted_response(1)
+
+    return step
+
+
+@pytest.mark.parametrize(
+    ("orders", "lost"),
+    [
+        ((ORDER_A, ORDER_B), ()),
+        (
+            (ORDER_A, gp.BindProxy(4, 1), gp.BindProxy(5, 1), gp.WithdrawTask("s-b", True)),
+            (gp.BindProxy(5, 1), gp.WithdrawTask("s-b", True)),
+        ),
+    ],
+    ids=["lines", "binds"],
+)
+def test_orders_that_a_proxy_has_acknowledged_are_not_reported_as_lost(orders, lost):
+    """A bind that was carried out but not answered was ordered again and again: 17 messages for 11 allowed.
+
+    The relay stops at an order that it cannot use, such as a bind of a proxy that has left."""
+
+    async def scenario():
+        async with SenderRun("break") as run:
+            run.relay.script.append(answer_after_acknowledgement(run))
+            run.sender.submit([*orders, MARK])
+            run.sender.submit([ORDER_B])
+            await wait_until(lambda: gp.OrdersLost((ORDER_B,), False) in run.published)
+            return run.published
+
+    assert asyncio.run(scenario()) == [
+        *([gp.OrdersLost(lost, True)] if lost else []),
+        gp.OrdersLost((ORDER_B,), False),
+    ]
+
+
+def test_an_acknowledgement_of_an_earlier_batch_confirms_nothing():
+    async def scenario():
+        async with SenderRun(accepted_response(2), "break") as run:
+            run.relay.script.append(answer_after_acknowledgement(run))
+            run.sender.submit([MARK, ORDER_A])
+            run.sender.submit([ORDER_B])
+            await wait_until(lambda: run.published)
+            return run.published
+
+    assert asyncio.run(scenario()) == [gp.OrdersLost((ORDER_B,), True)]
