On sockets a list that must be asked for is followed through failures

Cause: on sockets each failed poll ended the subscription and was reported as lost, and the Brain subscribed again after a wait that doubles from 0.3 s up to half of must_ask_in. On sockets PROTOCOL names an agent on the assigner's own machine that replies at once and at no cost. Evidence: with the Brain behind the watch and an agent that resets each call, the longest wait between two of twelve tries was 5.03 s; all other paths (pushed list, calls, event stream, moves) stayed below 0.5 s.

Change: the order starts the subscription as before; a failed poll is repeated after the backoff that a pushed list has.

--- a/garnetpaddle/net/task_list_watch.py
+++ b/garnetpaddle/net/task_list_watch.py
@@ -133,8 +133,8 @@
 class TaskListWatch:
     """Keeps a subscription to the task list and publishes it as gp.TaskListReceived.
 
-    must_ask: a SubscribeTaskList order starts the subscription and a failure ends it; otherwise it is
-    permanent. generation: that of the last known list. clock: that of the events' times."""
+    must_ask: a SubscribeTaskList order starts the subscription; otherwise it starts by itself. generation:
+    that of the last known list. clock: that of the events' times."""
 
     def __init__(self, address, addresses, publish, must_ask, generation=0, clock=None):
         self.agent, self.addresses, self.publish, self.must_ask = Agent(address), addresses, publish, must_ask
@@ -249,16 +249,11 @@
             self.receive(result)
 
     async def handle_failure(self, failure):
-        """Ends the subscription if it must be asked for; otherwise waits for the backoff."""
+        """Waits for the backoff. A poll costs the agent nothing, so the subscription is never given up."""
         if not self.failures:
             log.warning("discovery_lost", why=failure.why)
         self.failures += 1
-        if self.must_ask:
-            self.subscribed.clear()
-            self.must_publish_next = False
-            self.publish(gp.TaskListReceived("lost", ()))
-        else:
-            await asyncio.sleep(BACKOFF[min(self.failures - 1, len(BACKOFF) - 1)])
+        await asyncio.sleep(BACKOFF[min(self.failures - 1, len(BACKOFF) - 1)])
 
     def receive(self, response):
         """Applies and publishes a list, unless it is older than the current one."""
