Binds and withdrawals keep to the message cap

Cause: bind_joining looked at the queue alone; only pushes of table lines looked at the message cap.

Change: a proxy that may have been written as many messages as the cap allows is not bound until older ones have aged, and nothing is withdrawn while such a proxy waits. The second that is added to the cap's period has a name.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -69,6 +69,8 @@
 PUSH_MAX_QUEUE_S = 5.0  # most queued after a push of urgency 1 or 2
 BIND_MAX_QUEUE_S = 1.5  # most queued after a bind of a proxy that has not waited long
 MESSAGE_CAP_SHARES = (0.95, 0.6, 0.4)  # of the message cap: most in use after such a push
+# 1 s: a message may be written later than it was ordered, and so count for longer
+MESSAGE_TIME_TOLERANCE_TENTHS_MS = 10_000
 BIND_DEADLINE_GRACE_SHARE = 0.9  # of the grace: binds that end by then need no withdrawals
 # Of the grace: a proxy that has waited for longer is late; withdrawals ordered before it joined are repeated.
 LATE_BIND_GRACE_SHARE = 0.4
@@ -931,14 +933,14 @@
         batch.admission_changed = batch.admission_changed or bool(changes_admission)
 
     def bind_joining(self, now, wanted, admissions, joining, batch, orders):
-        """Binds proxies, the first ones, as far as the channel allows, and removes them from `joining`."""
+        """Binds proxies, the first ones, as far as channel and message cap allow, and removes them from
+        `joining`."""
         queue_limit, channel_lines = self.parameters.queue_limit, self.parameters.channel_lines
         most_queued = min(BIND_QUEUE_SHARES[0] * queue_limit, BIND_MAX_QUEUE_S * channel_lines)
         most_queued_late = BIND_QUEUE_SHARES[1] * queue_limit
         late_before = self.late_before(now)
         total_weight = {t: sum(lines.values()) for t, lines in wanted.items()}
-        while joining:
-            proxy = joining[0]
+        for proxy in [p for p in joining if not self.message_cap_reached(now, p)]:
             table = max(self.tables, key=lambda t: total_weight[t] / (t.call_rate + proxy.call_rate))
             line_count = len(table.weights) + len(admissions) * table.admissions_ordered + 1
             # The higher limit applies only while nothing urgent waits, so that binds never take its room.
@@ -949,7 +951,8 @@
             orders.append(gp.BindProxy(proxy.id, table.number))
             self.bind(proxy, True, table)
             self.shortest_message = min(self.shortest_message, self.record_messages(now, line_count, [proxy]))
-            batch.reached += [joining.pop(0)] * (not proxy.external)
+            joining.remove(proxy)
+            batch.reached += [proxy] * (not proxy.external)
 
     def await_acknowledgements(self, now, batch):
         """Waits for the proxies that a batch reaches until its levels, and its weights, are in effect."""
@@ -1022,6 +1025,8 @@
         keeping: some of them keep tables ordered before this start on purpose. Returns whether all proxies
         must acknowledge.
         """
+        if any(self.message_cap_reached(now, proxy) for proxy in waiting):
+            return False
         overhead = self.parameters.message_overhead_lines + 1
         bind_lines = (
             statistics.fmean(len(t.weights) for t in self.tables) + len(self.parameters.routes) + 1 + overhead
@@ -1170,13 +1175,22 @@
     def push_blocked(self, now, urgency, table):
         """Whether a push of this urgency to a table is too soon after the last, or near the message cap."""
         cap = self.parameters.message_cap
-        since = now - self.parameters.message_cap_period - SECOND
+        since = self.message_cap_since(now)
         capped = cap and any(
             p.messages_since(since) >= MESSAGE_CAP_SHARES[urgency] * cap - 1
             for p in table.channel_proxies.values()
         )
         return capped or now - table.pushed_at[urgency] < PUSH_INTERVALS_TENTHS_MS[urgency]
 
+    def message_cap_since(self, now):
+        """The time after which messages count towards the message cap."""
+        return now - self.parameters.message_cap_period - MESSAGE_TIME_TOLERANCE_TENTHS_MS
+
+    def message_cap_reached(self, now, proxy):
+        """Whether one more message to a proxy might pass the message cap."""
+        cap = self.parameters.message_cap
+        return cap > 0 and proxy.messages_since(self.message_cap_since(now)) >= cap
+
     def record_messages(self, now, line_count, proxies):
         """Adds a message of so many lines for each proxy to the queue; returns its cost in lines."""
         cost = (
@@ -1185,7 +1199,7 @@
         self.queue_progress_at = self.queue_progress_at if self.queue else now
         proxies = [p for p in proxies if not p.external]
         total = len(proxies) * cost
-        since = now - self.parameters.message_cap_period - SECOND
+        since = self.message_cap_since(now)
         self.queue = self.queue + total
         self.unacknowledged = self.unacknowledged + total
         self.written_lines += total
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -166,3 +166,18 @@
     mark = ordered_mark(harness)
     harness.handle(*(gp.OrdersApplied(proxy, mark, 3_000) for proxy in range(2)))
     assert harness.brain.proxies[0].messages_since(harness.now - 100_000) == 17
+
+
+def test_binds_whose_answers_get_lost_keep_to_the_message_cap():
+    """A proxy that joined in such a spell was bound again each time: 17 messages within 10 s, 11 allowed."""
+    cap, period = 11, 100_000
+    harness = BrainHarness(message_cap=cap, message_cap_period=period, acknowledges=False)
+    harness.now += 150_000
+    harness.handle(gp.ProxyJoined(7, 20.0, True, "z"))
+    bound_at = []
+    for _ in range(40):
+        bound_at += [harness.now for order in harness.last_orders if isinstance(order, gp.BindProxy)]
+        harness.now += 4_000
+        harness.handle(gp.OrdersLost(tuple(harness.last_orders), True))
+    counts = [sum(at - period < earlier <= at for earlier in bound_at) for at in bound_at]
+    assert max(counts) == cap
