The relay is tried every 0.1 s until it answers, the first time at once

Need: with pauses that grow to 0.4 s between trials, removals were ordered later than before in spells that break a share of the calls. A trial leaves nothing in doubt, so its pauses need not grow; consecutive failures of real calls keep theirs, but for a first repetition at once behind an answered trial.

--- a/benchmarks/faults/brain_link.py
+++ b/benchmarks/faults/brain_link.py
@@ -6,7 +6,7 @@
 from garnetpaddle import interface as gp
 from garnetpaddle.brain import Brain
 from garnetpaddle.net import order_codec
-from garnetpaddle.net.order_sender import BACKOFF, RESPONSE_TIMEOUT
+from garnetpaddle.net.order_sender import BACKOFF, RESPONSE_TIMEOUT, TRIAL_INTERVAL
 from garnetpaddle.rehearsal.model import tenths_of_ms
 
 EPOCH = 10**9  # the Brain's time at the start, not 0: a start time of 0 means long ago
@@ -125,24 +125,25 @@
                 _ = self.marks.to_wire(order.mark)
         if broken := self.break_call():
             self.calls_behind = []
-            self.call_later_after_failure(broken, self.try_relay, life, orders)
+            backoff = BACKOFF[min(self.consecutive_failures, len(BACKOFF) - 1)]
+            self.consecutive_failures += 1
+            self.try_relay_later(broken, backoff, life, orders)
         else:
             self.consecutive_failures = 0
         if broken is None or broken.executed:
             self.apply(orders)
 
-    def call_later_after_failure(self, broken, action, *arguments):
-        """Does something once the sender's backoff after a broken call is over."""
-        backoff = tenths_of_ms(BACKOFF[min(self.consecutive_failures, len(BACKOFF) - 1)])
-        self.consecutive_failures += 1
-        self.fleet.scheduler.call_later(ANSWER_WAIT[broken.kind] + backoff, action, *arguments)
+    def try_relay_later(self, broken, pause, life, orders):
+        """Tries the relay after a broken call and a pause in seconds."""
+        delay = ANSWER_WAIT[broken.kind] + tenths_of_ms(pause)
+        self.fleet.scheduler.call_later(delay, self.try_relay, life, orders)
 
     def try_relay(self, life, orders):
         """The sender tries the relay with a call that changes nothing, until one is answered."""
         if life != self.life:
             return
         if broken := self.break_call():
-            self.call_later_after_failure(broken, self.try_relay, life, orders)
+            self.try_relay_later(broken, TRIAL_INTERVAL, life, orders)
         else:
             self.report_broken_call(orders)
 
--- a/garnetpaddle/net/order_sender.py
+++ b/garnetpaddle/net/order_sender.py
@@ -12,7 +12,8 @@
 RESPONSE_TIMEOUT = 0.25  # s: the 50 ms of the protocol plus delays on a busy machine
 CONNECT_TIMEOUT = 0.5  # s
 MAX_IDLE = 1.0  # s: the relay may close a connection that is idle for longer, leaving a request in doubt
-BACKOFF = (0.05, 0.1, 0.2, 0.4)  # s after a failed request, by consecutive failures
+BACKOFF = (0.0, 0.05, 0.1, 0.2, 0.4)  # s after a failed request, by consecutive failures
+TRIAL_INTERVAL = 0.1  # s between requests that try whether the relay answers again
 ATTEMPTS = 2  # a reused connection may turn out to be closed before a byte is written
 log = structlog.get_logger()
 
@@ -92,20 +93,14 @@
 
         An unconfirmed request may have been executed: each repetition may be one more message to every proxy
         that it reaches. So the relay is tried with requests that reach none."""
-        await self.back_off(result)
-        if not isinstance(result, http.Unconfirmed):
-            return
-        while isinstance(
-            result := await self.send_request(order_codec.trial_request(self.marks)),
-            http.Unconfirmed | http.NotSent,
-        ):
-            await self.back_off(result)
-
-    async def back_off(self, failure):
-        """Logs a failure and waits for longer after each consecutive one."""
-        self.log_state(failure)
+        self.log_state(result)
         await asyncio.sleep(BACKOFF[min(self.failures, len(BACKOFF) - 1)])
         self.failures += 1
+        if not isinstance(result, http.Unconfirmed):
+            return
+        trial = order_codec.trial_request(self.marks)
+        while isinstance(await self.send_request(trial), http.Unconfirmed | http.NotSent):
+            await asyncio.sleep(TRIAL_INTERVAL)
 
     def report_lost(self, encoded, in_doubt):
         """Reports orders that no response confirmed. in_doubt: they, or another part of their batch, may have
