Former tables from when all tasks were cold are not kept after a restart

Cause: keeps_inherited_tables looks at how many tasks have left or are cold now. A former life's table from when all tasks were cold has no line, and no call passes that would bring a report and end the wait. Change: a task that turned warm later than 30 s before the first join counts as changed, as a restarted assigner has to be ready within 30 s and its former tables may be as old.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -37,8 +37,11 @@
 DEPARTED_LINE_TENTHS_MS = 600_000  # 60 s: how long an unreachable proxy may hold the line of a task that left
 # 6 s: how long proxies keep tables ordered before this start, which fit better than even shares
 INHERITED_TABLES_TENTHS_MS = 60_000
-# Of the tasks, those that have left or are cold: with more of them, and more than one, the tables ordered
-# before this start are replaced at once, as a proxy may hold few other lines and calls those tasks instead.
+# 30 s, in which a restarted assigner has to be ready: tables ordered before this start may be as old
+FORMER_TABLES_AGE_TENTHS_MS = 300_000
+# Of the tasks, those that have left, are cold or turned warm since such a table was ordered: with more of
+# them, and more than one, the tables ordered before this start are replaced at once, as a proxy may hold few
+# other lines, or none, and calls those tasks instead.
 MAX_CHANGED_SHARE = 0.25
 
 # Shares: the calls that each task gets, as a ratio to the average; adjusted in steps, by its answers
@@ -968,13 +971,20 @@
 
     def keeps_inherited_tables(self, now):
         """Whether proxies keep tables ordered before this start: for a while, until the first adjustment of
-        shares, which a headroom shows, and only as long as few of the tasks in them have left or are cold."""
+        shares, which a headroom shows, and only as long as few of the tasks have left, are cold or have
+        turned warm since."""
         if now - self.first_join_at >= INHERITED_TABLES_TENTHS_MS or any(t.headroom for t in self.own_tasks):
             return False
         departed = sum(name in self.tasks for name in self.departed())
-        changed = departed + len(self.uncallable_ready_tasks(now))
+        changed = departed + len(self.uncallable_ready_tasks(now)) + self.count_newly_warm(now)
         return changed <= max(MAX_CHANGED_SHARE * (departed + len(self.ready())), 1)
 
+    def count_newly_warm(self, now):
+        """The number of ready tasks that turned warm so late that tables ordered before this start may have
+        no line of them."""
+        former_tables_at = self.first_join_at - FORMER_TABLES_AGE_TENTHS_MS
+        return sum(task.warm(now) and task.warm_from() > former_tables_at for task in self.ready())
+
     def push_lines(self, now, table, lines, joining, orders):
         """Orders the lines of a table that differ, most urgent first, as far as pace and channel allow.
 
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -45,9 +45,13 @@
         self.table = None  # the table that holds its line
         self.reset_counts()
 
+    def warm_from(self):
+        """When the task has its full capacity: `ramp_time` after its start, or long ago."""
+        return self.ramp_from + self.ramp_time if self.ramp_time else -math.inf
+
     def warm(self, now):
-        """Whether the task has its full capacity: it started at least `ramp_time` ago."""
-        return now >= self.ramp_from + self.ramp_time
+        """Whether the task has its full capacity."""
+        return now >= self.warm_from()
 
     def total_latency(self, failure_latency):
         """The summed latency of all counted tries, each failure counting as `failure_latency`."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -569,6 +569,17 @@
     assert [line[7:] for line in harness.trace] == ["bind 0"]
 
 
+@pytest.mark.parametrize(("started", "bound"), [(1, ["bind 0"]), (0, [])], ids=["just warm", "long warm"])
+def test_a_proxy_whose_older_table_is_from_when_all_tasks_were_cold_is_bound_at_once(started, bound):
+    """It held a table without lines for 6 s after a restart, while the list showed twelve warm tasks."""
+    harness = BrainHarness(tasks="", proxies=0)
+    harness.now += 170_000
+    harness.handle(list_changes(*(task_line(k, started=started) for k in "abcdef")))
+    harness.trace.clear()
+    harness.handle(gp.ProxyJoined(0, 5.0, False, "z"))
+    assert [line[7:] for line in harness.trace] == bound
+
+
 def test_withdrawals_of_lines_that_no_proxy_holds_do_not_delay_the_next_ones():
     """After a restart all proxies keep older tables, none with a line of the many tasks that left long ago.
     Withdrawals of these tasks never enter the channel. Counted in the queue, they delayed the withdrawal of
