--- a/benchmarks/recovery_waits.py
+++ b/benchmarks/recovery_waits.py
@@ -9,6 +9,9 @@
 import contextlib
 import dataclasses
 import json
+import sys
+
+import structlog
 
 from benchmarks.faults import day as days
 from benchmarks.faults import settings
@@ -155,6 +158,7 @@
     parser.add_argument("--tries", type=int, default=DEFAULT_TRIES)
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
     waits = asyncio.run(measure(FAILURES, options.tries))
     if options.json:
         print(
