Removals do not wait for lines that a lost call never wrote: one proxy is asked

Change: while urgent changes wait and a batch is in doubt, one of the proxies that the batch would have reached first is bound again, if that fits. Its acknowledgement settles the batch as a whole: a call is carried out or not at all, so if the proxy has passed the batch over no message of it was written, and its lines and messages are taken back for every proxy. A proxy that the batch reaches only behind a bind proves nothing, as the relay stops at an order that it cannot use; nor does one whose own bind is in doubt. The entries of sent_batches are a type now (SentBatch) in place of lists.

Measured: test_no_removal_waits_for_lines_that_were_never_written failed before (no bind, the removal waits), as did test_lines_that_may_have_been_written_count_until_an_acknowledgement_shows_which; the third new test guards the other side.

--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -23,7 +23,7 @@
 from garnetpaddle import interface as gp
 from garnetpaddle.fault_evidence import EJECTION_EVIDENCE, UNLISTED_EVIDENCE, update_evidence
 from garnetpaddle.share_adjustment import PRIOR_ANSWERS, SMOOTHING_FACTOR, adjust_shares
-from garnetpaddle.state import Batch, Proxy, PushAcknowledgements, Table, Task
+from garnetpaddle.state import Batch, Proxy, PushAcknowledgements, SentBatch, Table, Task
 from garnetpaddle.task_liveness import NOTHING_LISTENS, may_have_restarted, process_ended, record_outcome
 from garnetpaddle.task_registry import TaskRegistry
 
@@ -146,10 +146,8 @@
         self.queue = 0.0
         self.unacknowledged = 0.0
         self.written_lines = 0.0
-        # mark -> [lines known to have left the channel once a proxy acknowledges the mark: those written
-        # before the batch, and one shortest message for each acknowledgement so far; lines of the batch's
-        # shortest message; lines written up to the batch's end]
-        self.sent_batches = {}
+        self.sent_batches = {}  # mark -> SentBatch
+        self.verification = (None, 0)  # the proxy that was bound again last to settle a doubt, and the mark
         self.shortest_message = 0.0  # of the present batch, in lines
         self.mark = 0
         # When the last push took effect; 0: new weights or levels were decided and are not in effect yet
@@ -327,21 +325,33 @@
     def on_orders_applied(self, now, event):
         """Handles an acknowledgement: the proxy has applied all its messages up to a mark."""
         if event.proxy in self.channel_proxies:
+            self.settle_doubts(self.channel_proxies[event.proxy], event.mark)
             self.acknowledge(now, self.channel_proxies[event.proxy], event.mark)
             if event.mark in self.sent_batches:
                 # Messages leave in order: all that was written before this one has left the channel, and with
                 # each acknowledgement at least one more of the batch's shortest messages.
-                batch = self.sent_batches[event.mark]  # lines that have left, of the shortest message, end
-                batch[0] += batch[1]
+                batch = self.sent_batches[event.mark]
+                batch.departed += batch.shortest_message
                 if now >= self.in_order_from:
-                    self.queue = max(0.0, min(self.queue, self.written_lines - batch[0]))
+                    self.queue = max(0.0, min(self.queue, self.written_lines - batch.departed))
             while self.sent_batches and (
-                # [2]: lines written up to the end of the oldest batch
-                next(iter(self.sent_batches.values()))[2] <= self.written_lines - self.queue
+                next(iter(self.sent_batches.values())).end <= self.written_lines - self.queue
             ):
                 del self.sent_batches[next(iter(self.sent_batches))]  # it has left the channel as a whole
         self.confirm_pushes(now, event.proxy, event.mark)
 
+    def settle_doubts(self, proxy, acknowledged):
+        """Settles which batches in doubt were written, by an acknowledgement of the mark `acknowledged`.
+
+        A proxy acknowledges its messages in order. One that a batch would have reached first and that has
+        passed it over shows that no order of the batch was carried out."""
+        for mark, batch in list(self.sent_batches.items()):
+            if mark == acknowledged:
+                batch.in_doubt = False
+            passed_over = 0 < (acknowledged - mark) % 65_536 < 32_768 and proxy.owes_acknowledgement(mark)
+            if batch.in_doubt and passed_over and proxy.id in batch.first_reached:
+                self.on_messages_lost(mark, False)
+
     def acknowledge(self, now, proxy, mark):
         """Removes what a proxy has confirmed, its messages up to a mark, from the unacknowledged lines, which
         are the upper bound of the queue."""
@@ -371,6 +381,8 @@
         written for certain."""
         if not possibly_written:
             self.sent_batches.pop(mark, None)
+        elif mark in self.sent_batches:
+            self.sent_batches[mark].in_doubt = True
         unsent = sum(proxy.message_lost(mark, possibly_written) for proxy in self.channel_proxies.values())
         self.queue = max(0.0, self.queue - unsent)
         self.unacknowledged = self.unacknowledged - unsent
@@ -838,6 +850,8 @@
         # message cap it may wait longer than they can.
         capped = any(self.push_blocked(now, 0, table) for table in self.tables)
         self.log_capped_removals(capped and batch.urgent_changes_wait)
+        if batch.urgent_changes_wait:
+            self.verify_doubtful_batch(now, admissions, joining, batch, orders)
         ask_all = False
         if capped or not batch.urgent_changes_wait:
             self.bind_joining(now, wanted, admissions, joining, batch, orders)
@@ -846,8 +860,9 @@
         if self.written_lines > written_before:
             self.mark = (self.mark + 1) % 65_536
             orders.append(gp.RequestAcknowledgement(self.mark, ask_all))
-            # Lines that have left once the mark is acknowledged, of the shortest message, up to the end
-            self.sent_batches[self.mark] = [written_before, self.shortest_message, self.written_lines]
+            self.sent_batches[self.mark] = SentBatch(
+                written_before, self.shortest_message, self.written_lines, batch.first_reached
+            )
         self.await_acknowledgements(now, batch)
 
     def log_capped_removals(self, capped):
@@ -912,6 +927,9 @@
             cost = self.record_messages(now, sent + len(changed_routes), table.channel_proxies.values())
             self.shortest_message = min(self.shortest_message, cost)
             batch.reached += table.channel_proxies.values()
+            # Those whose bind is in doubt may not be reached.
+            bound = frozenset(number for number, proxy in table.channel_proxies.items() if proxy.bound)
+            batch.first_reached = batch.first_reached or bound
         batch.all_changes_sent = batch.all_changes_sent and sent == len(changes)
         if sent < len(changes) and changes[sent][0] == 0:
             batch.urgent_changes_wait = True
@@ -945,17 +963,66 @@
         total_weight = {t: sum(lines.values()) for t, lines in wanted.items()}
         for proxy in [p for p in joining if not self.message_cap_reached(now, p)]:
             table = max(self.tables, key=lambda t: total_weight[t] / (t.call_rate + proxy.call_rate))
-            line_count = len(table.weights) + len(admissions) * table.admissions_ordered + 1
+            line_count = self.bind_line_count(table, admissions)
             # The higher limit applies only while nothing urgent waits, so that binds never take its room.
             late = proxy.joined_at <= late_before and not batch.urgent_changes_wait
             cost = line_count + self.parameters.message_overhead_lines + 1
             if self.queue + cost > (most_queued_late if late else most_queued):
                 break
-            orders.append(gp.BindProxy(proxy.id, table.number))
-            self.bind(proxy, True, table)
-            self.shortest_message = min(self.shortest_message, self.record_messages(now, line_count, [proxy]))
+            self.order_bind(now, proxy, table, line_count, batch, orders)
+            joining.remove(proxy)
+
+    def bind_line_count(self, table, admissions):
+        """The lines that a bind to a table costs, without the overhead of its message."""
+        return len(table.weights) + len(admissions) * table.admissions_ordered + 1
+
+    def order_bind(self, now, proxy, table, line_count, batch, orders):
+        """Orders a bind and records its message."""
+        orders.append(gp.BindProxy(proxy.id, table.number))
+        self.bind(proxy, True, table)
+        self.shortest_message = min(self.shortest_message, self.record_messages(now, line_count, [proxy]))
+        if not proxy.external:
+            batch.reached.append(proxy)
+            batch.first_reached = batch.first_reached or frozenset((proxy.id,))
+
+    def verify_doubtful_batch(self, now, admissions, joining, batch, orders):
+        """Binds one proxy anew while urgent changes wait and a batch is in doubt.
+
+        What the batch may have left in the channel holds them back; nothing but an acknowledgement of a later
+        message tells whether it was written."""
+        proxy = self.find_verifying_proxy(now)
+        if proxy is None:
+            return
+        line_count = self.bind_line_count(proxy.table, admissions)
+        cost = line_count + self.parameters.message_overhead_lines + 1
+        if self.queue + cost > PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit:
+            return
+        self.order_bind(now, proxy, proxy.table, line_count, batch, orders)
+        self.verification = proxy.id, (self.mark + 1) % 65_536
+        if proxy in joining:
             joining.remove(proxy)
-            batch.reached += [proxy] * (not proxy.external)
+
+    def find_verifying_proxy(self, now):
+        """A proxy whose next acknowledgement settles the latest doubt, the one with the fewest messages.
+
+        None where no batch is in doubt or such an acknowledgement is on its way."""
+        number, mark = self.verification
+        asked = self.channel_proxies.get(number)
+        if asked and asked.owes_acknowledgement(mark) and mark not in asked.in_doubt:
+            return None
+        for mark, batch in reversed(self.sent_batches.items()):
+            if batch.in_doubt:
+                reached = (self.channel_proxies.get(number) for number in sorted(batch.first_reached))
+                candidates = [
+                    proxy
+                    for proxy in reached
+                    if proxy
+                    and proxy.table
+                    and proxy.owes_acknowledgement(mark)
+                    and not self.message_cap_reached(now, proxy)
+                ]
+                return min(candidates, key=lambda proxy: len(proxy.message_times), default=None)
+        return None
 
     def await_acknowledgements(self, now, batch):
         """Waits for the proxies that a batch reaches until its levels, and its weights, are in effect."""
--- a/garnetpaddle/state.py
+++ b/garnetpaddle/state.py
@@ -132,6 +132,10 @@
         self.message_times.pop(mark, None)
         self.in_doubt.discard(mark)
 
+    def owes_acknowledgement(self, mark):
+        """Whether an acknowledgement of a message of this join is still to come, if it was written."""
+        return mark in self.message_times and mark in self.unacknowledged
+
     def unacknowledged_lines(self):
         return sum(self.unacknowledged.values())
 
@@ -195,16 +199,34 @@
             self.weights[task] = weight
 
 
+@dataclass(slots=True)
+class SentBatch:
+    """A batch of orders whose messages may wait in the channel; figures in lines.
+
+    departed: what has left the channel once a proxy acknowledges the mark: all that was written before the
+    batch, and one shortest message for each acknowledgement so far. end: all that was written up to its end.
+    first_reached: the proxies that get a message if any of its orders is carried out. in_doubt: its orders
+    are lost, perhaps carried out.
+    """
+
+    departed: float
+    shortest_message: float
+    end: float
+    first_reached: frozenset[int]
+    in_doubt: bool = False
+
+
 @dataclass(slots=True)
 class Batch:
     """What one batch of orders does, beside the orders themselves.
 
-    reached: the channel's proxies that get a message. all_changes_sent: no change of a table line had to
-    wait. admission_changed: admissions were ordered that may differ from those in effect.
-    urgent_changes_wait: a change of urgency 0, as for a drain, had to wait.
+    reached: the channel's proxies that get a message. first_reached: as in SentBatch. all_changes_sent: no
+    change of a table line had to wait. admission_changed: admissions were ordered that may differ from those
+    in effect. urgent_changes_wait: a change of urgency 0, as for a drain, had to wait.
     """
 
     reached: list = field(default_factory=list)
+    first_reached: frozenset[int] = frozenset()
     all_changes_sent: bool = True
     admission_changed: bool = False
     urgent_changes_wait: bool = False
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -181,3 +181,59 @@
         harness.handle(gp.OrdersLost(tuple(harness.last_orders), True))
     counts = [sum(at - period < earlier <= at for earlier in bound_at) for at in bound_at]
     assert max(counts) == cap
+
+
+def harness_with_doubtful_batches():
+    """20 proxies; the removal of a is ordered and lost twice: what it may have left fills the queue."""
+    harness = BrainHarness(tasks="abcdefgh", proxies=20, queue_limit=400.0, channel_lines=400.0)
+    harness.advance(8)
+    assert harness.brain.queue == 0 and all(proxy.bound for proxy in harness.brain.proxies.values())
+    harness.acknowledges = False
+    assert drain(harness, "a") == {"a"}
+    first_mark = ordered_mark(harness)
+    lose_tries(harness, 2, True)
+    assert removed_tasks(harness) == set()
+    return harness, first_mark
+
+
+def bound_proxies(harness):
+    return [order.proxy for order in harness.last_orders if isinstance(order, gp.BindProxy)]
+
+
+def test_no_removal_waits_for_lines_that_were_never_written():
+    """At an empty channel drains waited for 3 s and more until the estimated queue had shrunk by time."""
+    harness, _ = harness_with_doubtful_batches()
+    [proxy] = bound_proxies(harness)
+    mark = ordered_mark(harness)
+    harness.now += 3_000
+    harness.handle()
+    assert bound_proxies(harness) == []
+    harness.handle(gp.OrdersApplied(proxy, mark, 3_000))
+    assert removed_tasks(harness) == {"a"}
+
+
+def test_lines_that_may_have_been_written_count_until_an_acknowledgement_shows_which():
+    """One of the two batches was written: its proxies acknowledge it before the bind that was to find out."""
+    harness, first_mark = harness_with_doubtful_batches()
+    [proxy] = bound_proxies(harness)
+    mark = ordered_mark(harness)
+    lines = 20 * 8
+    harness.handle(gp.OrdersApplied(proxy, first_mark, 3_000))
+    assert harness.brain.queue >= 2 * lines and removed_tasks(harness) == set()
+    harness.handle(gp.OrdersApplied(proxy, mark, 3_000))
+    # The bind left the channel after the first batch, and the second one was never in it.
+    assert harness.brain.queue == lines and removed_tasks(harness) == {"a"}
+
+
+def test_a_proxy_behind_an_order_that_was_not_taken_proves_nothing_of_its_batch():
+    """The relay stops at a bind of a proxy that has left; the lines before it were written all the same."""
+    harness = BrainHarness(tasks="abcdefgh", proxies=20, queue_limit=4_000.0, acknowledges=False)
+    harness.now += 150_000
+    joined = [gp.ProxyJoined(proxy, 5.0, True, "z") for proxy in (30, 31)]
+    harness.handle(list_changes(task_line("a", "draining")), *joined)
+    assert bound_proxies(harness) == [30, 31] and removed_tasks(harness) == {"a"}
+    lost = tuple(harness.last_orders)
+    queue = harness.brain.queue
+    harness.handle(gp.OrdersLost(lost, True))
+    harness.handle(gp.OrdersApplied(31, ordered_mark(harness), 3_000))
+    assert harness.brain.queue >= queue
