The estimate of the channel moves out of brain.py into a module of its own

ChannelEstimate holds them now; the Brain asks it.

The order sender and the list's watch close their connections when their task ends: tests left them to the garbage collector, which once met an import and ended a run of selected test files with a SystemError of the interpreter's parser (whole runs import what it met early).

--- a/benchmarks/advice.py
+++ b/benchmarks/advice.py
@@ -433,7 +433,9 @@
     for round_number in range(1, rounds + 1):
         for brain, durations in zip(brains, times, strict=True):
             now = round_number * 20_000
-            brain.handle(now - 9_000, [gp.OrdersApplied(proxy, brain.mark, 100) for proxy in range(150)])
+            brain.handle(
+                now - 9_000, [gp.OrdersApplied(proxy, brain.channel.mark, 100) for proxy in range(150)]
+            )
             brain.handle(
                 now,
                 [
--- a/benchmarks/recovery_waits.py
+++ b/benchmarks/recovery_waits.py
@@ -56,16 +56,8 @@
         writer.transport.abort()
 
 
-async def follow_list(watch, *others):
-    """Runs a watch of the list, and what it needs, until cancelled."""
-    try:
-        await asyncio.gather(watch.run(), *others)
-    finally:
-        watch.agent.close()
-
-
 async def follow_pushed_list(address):
-    await follow_list(TaskListWatch(address, TaskAddresses(), lambda _: None, must_ask=False))
+    await TaskListWatch(address, TaskAddresses(), lambda _: None, must_ask=False).run()
 
 
 class ListHandlers:
@@ -87,7 +79,7 @@
     parameters = dataclasses.replace(boot.derive_parameters(platform), list_mode="ask")
     watch = TaskListWatch(address, TaskAddresses(), lambda event: loop.publish(event), must_ask=True)
     loop = DecisionLoop(Brain(parameters, 1), make_clock(), ListHandlers(watch))
-    await follow_list(watch, loop.run())
+    await asyncio.gather(watch.run(), loop.run())
 
 
 async def send_calls(address):
@@ -95,11 +87,7 @@
     orders = [gp.SetWeight(1, "a", 1.0)]
     sender = OrderSender(address, ["read"], MarkTranslator(0), lambda _: sender.submit(orders))
     sender.submit(orders)
-    try:
-        await sender.run()
-    finally:
-        if sender.connection:
-            sender.connection.close()
+    await sender.run()
 
 
 async def follow_news(address):
--- a/garnetpaddle/brain.py
+++ b/garnetpaddle/brain.py
@@ -21,19 +21,16 @@
 import statistics
 
 from garnetpaddle import interface as gp
+from garnetpaddle.channel_estimate import SECOND, ChannelEstimate
 from garnetpaddle.fault_evidence import EJECTION_EVIDENCE, UNLISTED_EVIDENCE, update_evidence
 from garnetpaddle.share_adjustment import PRIOR_ANSWERS, SMOOTHING_FACTOR, adjust_shares
-from garnetpaddle.state import Batch, Proxy, PushAcknowledgements, SentBatch, Table, Task
+from garnetpaddle.state import Batch, Proxy, PushAcknowledgements, Table, Task
 from garnetpaddle.task_liveness import NOTHING_LISTENS, may_have_restarted, process_ended, record_outcome
 from garnetpaddle.task_registry import TaskRegistry
 
-SECOND = 10_000  # tenths of a ms
-
 # Timers
 TICK_TENTHS_MS = 1_000  # 0.1 s: well below every delay that has to be noticed
 RESUBSCRIBE_BACKOFF_TENTHS_MS = 3_000  # 0.3 s: first wait before subscribing again, doubled and randomised
-# 3 s without an acknowledgement, longer than a stall: from then on the estimated queue shrinks by time alone.
-CHANNEL_SILENCE_TENTHS_MS = 30_000
 DEPARTED_LINE_TENTHS_MS = 600_000  # 60 s: how long an unreachable proxy may hold the line of a task that left
 # 6 s: how long proxies keep tables ordered before this start, which fit better than even shares
 INHERITED_TABLES_TENTHS_MS = 60_000
@@ -72,8 +69,6 @@
 PUSH_MAX_QUEUE_S = 5.0  # most queued after a push of urgency 1 or 2
 BIND_MAX_QUEUE_S = 1.5  # most queued after a bind of a proxy that has not waited long
 MESSAGE_CAP_SHARES = (0.95, 0.6, 0.4)  # of the message cap: most in use after such a push
-# 1 s: a message may be written later than it was ordered, and so count for longer
-MESSAGE_TIME_TOLERANCE_TENTHS_MS = 10_000
 BIND_DEADLINE_GRACE_SHARE = 0.9  # of the grace: binds that end by then need no withdrawals
 # Of the grace: a proxy that has waited for longer is late; withdrawals ordered before it joined are repeated.
 LATE_BIND_GRACE_SHARE = 0.4
@@ -140,28 +135,15 @@
         self.counted_until = {}
         self.timers = [(0, 0, Brain.subscribe, None)] * (parameters.list_mode == "ask")
         self.timer_serial = 0
-        # Channel costs in lines. queue: what still waits in the channel, estimated from what is not
-        # acknowledged and, while no stream has broken, from the order of messages. written_lines: all lines
-        # written so far
-        self.queue = 0.0
-        self.unacknowledged = 0.0
-        self.written_lines = 0.0
-        self.sent_batches = {}  # mark -> SentBatch
+        self.channel = ChannelEstimate(parameters)
         self.verification = (None, 0)  # the proxy that was bound again last to settle a doubt, and the mark
-        self.shortest_message = 0.0  # of the present batch, in lines
-        self.mark = 0
         # When the last push took effect; 0: new weights or levels were decided and are not in effect yet
         self.effective_at = {"weights": 0, "levels": 0}
         self.awaited = {}  # "weights" or "levels" -> the acknowledgements that the last push waits for
-        # queue_updated_at: when the queue's estimate was last reduced by time; in_order_from: from when on
-        # the order of messages is reliable; rebalanced_at: the last move of tasks from one table to another
-        self.queue_updated_at = self.in_order_from = self.rebalanced_at = 0
-        # report_delay: from the estimated end of the time that the last reports covered to their evaluation;
-        # queue_progress_at: the last acknowledgement, or the first message into an empty queue if that is
-        # later
-        self.next_tick_at = self.subscribe_failures = self.first_pending_report_at = self.first_join_at = (
-            self.report_delay
-        ) = self.queue_progress_at = 0
+        self.rebalanced_at = 0  # the last move of tasks from one table to another
+        # report_delay: from the estimated end of the time that the last reports covered to their evaluation
+        self.next_tick_at = self.subscribe_failures = self.first_pending_report_at = 0
+        self.first_join_at = self.report_delay = 0
         self.admitted_share = 1.0  # of the work of all routes
         self.usual_in_flight = 1.0  # calls at the median task while few fail, smoothed
         self.usual_failure_share = 0.0  # what the median call meets
@@ -295,16 +277,10 @@
             self.call_rate = self.call_rate + proxy.call_rate
 
     def on_proxy_left(self, now, event):
-        """A broken stream takes its lines out of the channel, and later messages overtake earlier ones: until
-        the channel may have emptied, an acknowledgement proves nothing about the messages before it."""
+        """Forgets a proxy, and what was under way to it."""
         if (lost := self.remove_proxy(event.proxy)) and lost.unacknowledged_lines():
-            self.in_order_from = now + int(
-                2 * SECOND * self.parameters.queue_limit / self.parameters.channel_lines
-            )
-            self.acknowledge(now, lost, self.mark)
-            # The stream broke before this event, so the latest acknowledgements prove nothing either.
-            self.queue = self.unacknowledged
-        self.confirm_pushes(now, event.proxy, self.mark)
+            self.channel.on_stream_broken(now, lost)
+        self.confirm_pushes(now, event.proxy, self.channel.mark)
 
     def remove_proxy(self, number):
         """Removes a proxy and its binding; returns it, or None if it was not joined."""
@@ -325,40 +301,10 @@
     def on_orders_applied(self, now, event):
         """Handles an acknowledgement: the proxy has applied all its messages up to a mark."""
         if event.proxy in self.channel_proxies:
-            self.settle_doubts(self.channel_proxies[event.proxy], event.mark)
-            self.acknowledge(now, self.channel_proxies[event.proxy], event.mark)
-            if event.mark in self.sent_batches:
-                # Messages leave in order: all that was written before this one has left the channel, and with
-                # each acknowledgement at least one more of the batch's shortest messages.
-                batch = self.sent_batches[event.mark]
-                batch.departed += batch.shortest_message
-                if now >= self.in_order_from:
-                    self.queue = max(0.0, min(self.queue, self.written_lines - batch.departed))
-            while self.sent_batches and (
-                next(iter(self.sent_batches.values())).end <= self.written_lines - self.queue
-            ):
-                del self.sent_batches[next(iter(self.sent_batches))]  # it has left the channel as a whole
+            proxy = self.channel_proxies[event.proxy]
+            self.channel.on_applied(now, proxy, event.mark, self.channel_proxies.values())
         self.confirm_pushes(now, event.proxy, event.mark)
 
-    def settle_doubts(self, proxy, acknowledged):
-        """Settles which batches in doubt were written, by an acknowledgement of the mark `acknowledged`.
-
-        A proxy acknowledges its messages in order. One that a batch would have reached first and that has
-        passed it over shows that no order of the batch was carried out."""
-        for mark, batch in list(self.sent_batches.items()):
-            if mark == acknowledged:
-                batch.in_doubt = False
-            passed_over = 0 < (acknowledged - mark) % 65_536 < 32_768 and proxy.owes_acknowledgement(mark)
-            if batch.in_doubt and passed_over and proxy.id in batch.first_reached:
-                self.on_messages_lost(mark, False)
-
-    def acknowledge(self, now, proxy, mark):
-        """Removes what a proxy has confirmed, its messages up to a mark, from the unacknowledged lines, which
-        are the upper bound of the queue."""
-        self.unacknowledged = max(0.0, self.unacknowledged - proxy.acknowledge(mark))
-        self.queue_progress_at = now
-        self.queue = min(self.queue, self.unacknowledged)
-
     def on_orders_lost(self, now, event):
         """Marks unconfirmed orders as neither done nor undone: what still differs is ordered again."""
         tables = {table.number: table for table in self.tables}
@@ -374,18 +320,9 @@
                 case gp.SetAdmission(table=number) if number in tables:
                     tables[number].admissions = {}
                 case gp.RequestAcknowledgement(mark=mark):
-                    self.on_messages_lost(mark, event.possibly_executed)
-
-    def on_messages_lost(self, mark, possibly_written):
-        """Takes back what the messages of a batch use of the queue and the message cap, if they were not
-        written for certain."""
-        if not possibly_written:
-            self.sent_batches.pop(mark, None)
-        elif mark in self.sent_batches:
-            self.sent_batches[mark].in_doubt = True
-        unsent = sum(proxy.message_lost(mark, possibly_written) for proxy in self.channel_proxies.values())
-        self.queue = max(0.0, self.queue - unsent)
-        self.unacknowledged = self.unacknowledged - unsent
+                    self.channel.on_messages_lost(
+                        mark, event.possibly_executed, self.channel_proxies.values()
+                    )
 
     def on_channel_state_unknown(self, now, event):
         """Starts a new table that nobody is bound to, as all earlier orders may be lost."""
@@ -758,7 +695,7 @@
             interval = 0 if few and not weak.channel_proxies else PUSH_INTERVALS_TENTHS_MS[1 if few else 2]
             needed = few or (
                 2 * strength[weak] < strength[strong]
-                and self.queue <= PUSH_START_QUEUE_S[2] * parameters.channel_lines
+                and self.channel.queue <= PUSH_START_QUEUE_S[2] * parameters.channel_lines
             )
             if needed and now - self.rebalanced_at >= interval:
                 self.rebalanced_at = now if weak.channel_proxies else self.rebalanced_at
@@ -837,12 +774,11 @@
     def emit(self, now, orders):
         """The one place where the wanted and the present state are compared and the difference is ordered:
         lines and levels of the tables, then binds, then withdrawals for proxies that wait for their bind."""
-        self.update_queue(now)
+        self.channel.update(now)
         wanted = self.wanted_lines(now)
         joining, keeping = self.waiting_proxies(now)
         admissions = self.wanted_admissions()
-        written_before = self.written_lines
-        self.shortest_message = self.parameters.queue_limit
+        self.channel.begin_batch()
         batch = Batch()
         for table in sorted(self.tables, key=lambda t: t.pushed_at[2]):
             self.push_table(now, table, wanted[table], admissions, joining, batch, orders)
@@ -857,12 +793,8 @@
             self.bind_joining(now, wanted, admissions, joining, batch, orders)
             waiting = [proxy for proxy in joining + keeping if not proxy.external]
             ask_all = bool(waiting) and self.withdraw_departed(now, waiting, bool(keeping), orders)
-        if self.written_lines > written_before:
-            self.mark = (self.mark + 1) % 65_536
-            orders.append(gp.RequestAcknowledgement(self.mark, ask_all))
-            self.sent_batches[self.mark] = SentBatch(
-                written_before, self.shortest_message, self.written_lines, batch.first_reached
-            )
+        if self.channel.end_batch(batch.first_reached):
+            orders.append(gp.RequestAcknowledgement(self.channel.mark, ask_all))
         self.await_acknowledgements(now, batch)
 
     def log_capped_removals(self, capped):
@@ -872,18 +804,6 @@
             text = "wait" if capped else "no longer wait"
             self.log_messages.append(f"removals {text} for the message cap")
 
-    def update_queue(self, now):
-        """Reduces the estimated queue by time: after CHANNEL_SILENCE_TENTHS_MS without an acknowledgement the
-        channel is taken to work it off at half its rate."""
-        # Seconds since the last estimate, 0 while acknowledgements arrive
-        silent_s = (
-            (now - self.queue_updated_at)
-            * (now - self.queue_progress_at > CHANNEL_SILENCE_TENTHS_MS)
-            / SECOND
-        )
-        self.queue = max(0.0, self.queue - silent_s * self.parameters.channel_lines / 2)
-        self.queue_updated_at = now
-
     def waiting_proxies(self, now):
         """The unbound proxies: those to be bound, late ones first, then those with most calls; and those that
         keep tables ordered before this start for a while."""
@@ -924,8 +844,9 @@
         if changed_routes:
             self.order_admissions(table, changed_routes, admissions, batch, orders)
         if sent or changed_routes:
-            cost = self.record_messages(now, sent + len(changed_routes), table.channel_proxies.values())
-            self.shortest_message = min(self.shortest_message, cost)
+            line_count = sent + len(changed_routes)
+            cost = self.channel.record_messages(now, line_count, table.channel_proxies.values())
+            self.channel.note_shortest_message(cost)
             batch.reached += table.channel_proxies.values()
             # Those whose bind is in doubt may not be reached.
             bound = frozenset(number for number, proxy in table.channel_proxies.items() if proxy.bound)
@@ -961,13 +882,12 @@
         most_queued_late = BIND_QUEUE_SHARES[1] * queue_limit
         late_before = self.late_before(now)
         total_weight = {t: sum(lines.values()) for t, lines in wanted.items()}
-        for proxy in [p for p in joining if not self.message_cap_reached(now, p)]:
+        for proxy in [p for p in joining if not self.channel.message_cap_reached(now, p)]:
             table = max(self.tables, key=lambda t: total_weight[t] / (t.call_rate + proxy.call_rate))
             line_count = self.bind_line_count(table, admissions)
             # The higher limit applies only while nothing urgent waits, so that binds never take its room.
             late = proxy.joined_at <= late_before and not batch.urgent_changes_wait
-            cost = line_count + self.parameters.message_overhead_lines + 1
-            if self.queue + cost > (most_queued_late if late else most_queued):
+            if self.queue_with_message(line_count) > (most_queued_late if late else most_queued):
                 break
             self.order_bind(now, proxy, table, line_count, batch, orders)
             joining.remove(proxy)
@@ -976,11 +896,15 @@
         """The lines that a bind to a table costs, without the overhead of its message."""
         return len(table.weights) + len(admissions) * table.admissions_ordered + 1
 
+    def queue_with_message(self, line_count):
+        """The estimated queue behind one more message of so many lines."""
+        return self.channel.queue + self.channel.message_cost(line_count)
+
     def order_bind(self, now, proxy, table, line_count, batch, orders):
         """Orders a bind and records its message."""
         orders.append(gp.BindProxy(proxy.id, table.number))
         self.bind(proxy, True, table)
-        self.shortest_message = min(self.shortest_message, self.record_messages(now, line_count, [proxy]))
+        self.channel.note_shortest_message(self.channel.record_messages(now, line_count, [proxy]))
         if not proxy.external:
             batch.reached.append(proxy)
             batch.first_reached = batch.first_reached or frozenset((proxy.id,))
@@ -994,11 +918,10 @@
         if proxy is None:
             return
         line_count = self.bind_line_count(proxy.table, admissions)
-        cost = line_count + self.parameters.message_overhead_lines + 1
-        if self.queue + cost > PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit:
+        if self.queue_with_message(line_count) > PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit:
             return
         self.order_bind(now, proxy, proxy.table, line_count, batch, orders)
-        self.verification = proxy.id, (self.mark + 1) % 65_536
+        self.verification = proxy.id, self.channel.next_mark()
         if proxy in joining:
             joining.remove(proxy)
 
@@ -1010,31 +933,31 @@
         asked = self.channel_proxies.get(number)
         if asked and asked.owes_acknowledgement(mark) and mark not in asked.in_doubt:
             return None
-        for mark, batch in reversed(self.sent_batches.items()):
-            if batch.in_doubt:
-                reached = (self.channel_proxies.get(number) for number in sorted(batch.first_reached))
-                candidates = [
-                    proxy
-                    for proxy in reached
-                    if proxy
-                    and proxy.table
-                    and proxy.owes_acknowledgement(mark)
-                    and not self.message_cap_reached(now, proxy)
-                ]
-                return min(candidates, key=lambda proxy: len(proxy.message_times), default=None)
-        return None
+        if (doubt := self.channel.latest_doubt()) is None:
+            return None
+        mark, batch = doubt
+        reached = (self.channel_proxies.get(number) for number in sorted(batch.first_reached))
+        candidates = [
+            proxy
+            for proxy in reached
+            if proxy
+            and proxy.table
+            and proxy.owes_acknowledgement(mark)
+            and not self.channel.message_cap_reached(now, proxy)
+        ]
+        return min(candidates, key=lambda proxy: len(proxy.message_times), default=None)
 
     def await_acknowledgements(self, now, batch):
         """Waits for the proxies that a batch reaches until its levels, and its weights, are in effect."""
         if batch.admission_changed:
             self.effective_at["levels"] = 0
-            self.awaited["levels"] = PushAcknowledgements().expect(batch.reached, self.mark, True)
+            self.awaited["levels"] = PushAcknowledgements().expect(batch.reached, self.channel.mark, True)
         if not self.effective_at["weights"]:
             self.awaited.setdefault("weights", PushAcknowledgements()).expect(
-                batch.reached, self.mark, batch.all_changes_sent
+                batch.reached, self.channel.mark, batch.all_changes_sent
             )
         # If no change was worth sending, nothing is awaited: the last push remains, in effect from now on.
-        self.confirm_pushes(now, None, self.mark)
+        self.confirm_pushes(now, None, self.channel.mark)
 
     def keeps_inherited_tables(self, now):
         """Whether proxies keep tables ordered before this start: for a while, until the first adjustment of
@@ -1079,7 +1002,7 @@
             table.pushed_at[urgency] = now if table.channel_proxies else table.pushed_at[urgency]
             if weight and self.withdrawn.pop(name, None) is not None:
                 orders.append(gp.WithdrawTask(name, False))
-                self.record_messages(now, 1, joining)
+                self.channel.record_messages(now, 1, joining)
             orders.append(gp.SetWeight(table.number, name, round(weight, 3)))
             table.set_weight(name, weight)
             self.changed_at[name] = self.changed_at[name] if weight else now
@@ -1102,21 +1025,24 @@
         keeping: some of them keep tables ordered before this start on purpose. Returns whether all proxies
         must acknowledge.
         """
-        if any(self.message_cap_reached(now, proxy) for proxy in waiting):
+        if any(self.channel.message_cap_reached(now, proxy) for proxy in waiting):
             return False
         overhead = self.parameters.message_overhead_lines + 1
         bind_lines = (
             statistics.fmean(len(t.weights) for t in self.tables) + len(self.parameters.routes) + 1 + overhead
         )
         binds_end_in = max(INHERITED_TABLES_TENTHS_MS - now + self.first_join_at, 0) if keeping else 0
-        binds_end_in += (self.queue + len(waiting) * bind_lines) / self.parameters.channel_lines * SECOND
+        binds_end_in += (
+            (self.channel.queue + len(waiting) * bind_lines) / self.parameters.channel_lines * SECOND
+        )
         if binds_end_in <= BIND_DEADLINE_GRACE_SHARE * self.parameters.drain_grace_period - now + min(
             p.joined_at for p in waiting
         ):
             return False
         # Lines that still fit into the message to each waiting proxy
         room = int(
-            (PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit - self.queue) / len(waiting) - overhead
+            (PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit - self.channel.queue) / len(waiting)
+            - overhead
         )
         to_withdraw = self.tasks_to_withdraw(now, waiting, keeping)
         # If there is not enough room for all, those that left first
@@ -1127,9 +1053,8 @@
             return False  # where it costs more than the binds it would only delay them
         orders += [gp.WithdrawTask(name, True) for name in to_withdraw]
         self.withdrawn |= dict.fromkeys(to_withdraw, max(now, 1))
-        self.shortest_message = min(
-            self.shortest_message, overhead, self.record_messages(now, len(to_withdraw), waiting)
-        )
+        self.channel.record_messages(now, len(to_withdraw), waiting)
+        self.channel.note_shortest_message(overhead)  # of a proxy that holds none of the lines
         # A proxy that holds none of these lines gets no message and would acknowledge nothing: lines that
         # were never in the channel would count in the queue and delay the next withdrawals. So all proxies
         # are asked to acknowledge.
@@ -1138,10 +1063,10 @@
         ]
         ask_all = (
             # Only if the queue and the message cap have room for that as well
-            self.queue + overhead * len(others) <= PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit
+            self.channel.queue + overhead * len(others) <= PUSH_QUEUE_SHARES[0] * self.parameters.queue_limit
             and not any(self.push_blocked(now, 0, table) for table in self.tables)
         )
-        self.record_messages(now, 0, others if ask_all else [])
+        self.channel.record_messages(now, 0, others if ask_all else [])
         return ask_all
 
     def tasks_to_withdraw(self, now, waiting, keeping):
@@ -1155,7 +1080,7 @@
         if not self.without_line(now, departed, waiting, late_before):
             # Alone, cold tasks may hardly delay binds.
             lines = len(waiting) * (self.parameters.message_overhead_lines + 2)
-            channel_idle = self.queue + lines <= PUSH_START_QUEUE_S[1] * self.parameters.channel_lines
+            channel_idle = self.channel.queue + lines <= PUSH_START_QUEUE_S[1] * self.parameters.channel_lines
             if not (keeping and channel_idle and self.without_line(now, cold, waiting, late_before)):
                 return []
         # The message tells proxies of the starts that this assigner knows: it has all that any of them lacks.
@@ -1213,7 +1138,7 @@
             fit = fit if proxy_count else eligible
             if proxy_count and (
                 fit
-                or self.queue <= PUSH_START_QUEUE_S[urgency] * self.parameters.channel_lines
+                or self.channel.queue <= PUSH_START_QUEUE_S[urgency] * self.parameters.channel_lines
                 or urgency == 0
                 and self.cannot_wait(now, changes[:eligible])
             ):
@@ -1233,10 +1158,10 @@
         most_queued = PUSH_QUEUE_SHARES[urgency] * limit
         if urgency:
             most_queued = min(most_queued, PUSH_MAX_QUEUE_S * self.parameters.channel_lines)
-        if not self.queue and most_queued < proxy_count * (overhead + 1):
+        if not self.channel.queue and most_queued < proxy_count * (overhead + 1):
             # Changed admissions may join the message.
             most_queued = PUSH_QUEUE_SHARES[0] * limit - proxy_count * len(self.parameters.routes)
-        return int((most_queued - self.queue) / proxy_count - overhead)
+        return int((most_queued - self.channel.queue) / proxy_count - overhead)
 
     def cannot_wait(self, now, changes):
         """Whether changes of urgency 0 include a table's first lines, or a removal that has waited long."""
@@ -1252,34 +1177,9 @@
     def push_blocked(self, now, urgency, table):
         """Whether a push of this urgency to a table is too soon after the last, or near the message cap."""
         cap = self.parameters.message_cap
-        since = self.message_cap_since(now)
+        since = self.channel.message_cap_since(now)
         capped = cap and any(
             p.messages_since(since) >= MESSAGE_CAP_SHARES[urgency] * cap - 1
             for p in table.channel_proxies.values()
         )
         return capped or now - table.pushed_at[urgency] < PUSH_INTERVALS_TENTHS_MS[urgency]
-
-    def message_cap_since(self, now):
-        """The time after which messages count towards the message cap."""
-        return now - self.parameters.message_cap_period - MESSAGE_TIME_TOLERANCE_TENTHS_MS
-
-    def message_cap_reached(self, now, proxy):
-        """Whether one more message to a proxy might pass the message cap."""
-        cap = self.parameters.message_cap
-        return cap > 0 and proxy.messages_since(self.message_cap_since(now)) >= cap
-
-    def record_messages(self, now, line_count, proxies):
-        """Adds a message of so many lines for each proxy to the queue; returns its cost in lines."""
-        cost = (
-            line_count + self.parameters.message_overhead_lines + 1
-        )  # 1: the line that asks for an acknowledgement
-        self.queue_progress_at = self.queue_progress_at if self.queue else now
-        proxies = [p for p in proxies if not p.external]
-        total = len(proxies) * cost
-        since = self.message_cap_since(now)
-        self.queue = self.queue + total
-        self.unacknowledged = self.unacknowledged + total
-        self.written_lines += total
-        for proxy in proxies:
-            proxy.record_message(now, since, (self.mark + 1) % 65_536, cost)
-        return cost
--- a/garnetpaddle/net/cold_task_log.py
+++ b/garnetpaddle/net/cold_task_log.py
@@ -147,7 +147,7 @@
         if order.task in self.cold:
             self.cold[order.task].record_line(change)
         if not order.weight:
-            self.removals[order.task] = RemovalOrder(now, self.brain.queue, self.brain.mark)
+            self.removals[order.task] = RemovalOrder(now, self.brain.channel.queue, self.brain.channel.mark)
 
     def note_probe(self, now, event):
         """Takes over the outcome of a probe that began after the start."""
--- a/garnetpaddle/net/decision_log.py
+++ b/garnetpaddle/net/decision_log.py
@@ -140,7 +140,7 @@
                 not proxy.has_only_default_table and not proxy.bound
                 for proxy in brain.unbound_proxies.values()
             ),
-            queued_lines=round(brain.queue),
+            queued_lines=round(brain.channel.queue),
             waiting_removals=self.waiting_removals(now),
             **self.cold_task_log.status(),
         )
--- a/garnetpaddle/net/order_sender.py
+++ b/garnetpaddle/net/order_sender.py
@@ -36,12 +36,16 @@
         self.wake.set()
 
     async def run(self):
-        """Sends queued batches forever."""
-        while True:
-            await self.wake.wait()
-            self.wake.clear()
-            while self.queue:
-                await self.send_batch(self.queue.popleft())
+        """Sends queued batches until cancelled; closes the connections then."""
+        try:
+            while True:
+                await self.wake.wait()
+                self.wake.clear()
+                while self.queue:
+                    await self.send_batch(self.queue.popleft())
+        finally:
+            for connection in filter(None, (self.connection, self.next_connection)):
+                connection.close()
 
     async def send_batch(self, orders):
         """Sends one batch; after an unexpected error, reports the whole batch as lost and in doubt."""
--- a/garnetpaddle/net/task_list_watch.py
+++ b/garnetpaddle/net/task_list_watch.py
@@ -225,6 +225,13 @@
             agent.close()
 
     async def run(self):
+        """Polls the current agent until cancelled; closes its connection then."""
+        try:
+            await self.poll_current_agent()
+        finally:
+            self.agent.close()
+
+    async def poll_current_agent(self):
         """Polls the current agent forever."""
         while True:
             if self.must_ask:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -176,7 +176,7 @@
         """Tells the Brain that the orders of the last batch are lost, or `perhaps` carried out."""
         self.add_label(f"orders lost, {'possibly' if perhaps else 'not'} carried out")
         self.handle(gp.OrdersLost(tuple(self.last_orders), perhaps))
-        self.add_label(f"estimated queue: {self.brain.queue:.0f} lines")
+        self.add_label(f"estimated queue: {self.brain.channel.queue:.0f} lines")
 
     def add_label(self, text):
         self.trace.append(f"       -- {text}")
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -28,7 +28,7 @@
     harness.reported_sums["a"] = (10, 0, 400)
     harness.add_label("no proxy acknowledges its table: no adjustment")
     harness.advance(8)
-    harness.handle(*(gp.OrdersApplied(p, harness.brain.mark, 0) for p in harness.brain.proxies))
+    harness.handle(*(gp.OrdersApplied(p, harness.brain.channel.mark, 0) for p in harness.brain.proxies))
     harness.add_label("acknowledged, but the reports now arrive 6 s late")
     harness.next_report_at = 160_000
     harness.advance(15)
@@ -109,7 +109,7 @@
     for queue, waits in (0, False), (5_000, True):
         harness = BrainHarness(proxies=200, channel_lines=1_000, queue_limit=40_000)
         harness.advance(3)
-        harness.brain.queue = harness.brain.unacknowledged = queue
+        harness.brain.channel.queue = harness.brain.channel.unacknowledged = queue
         harness.acknowledges = False
         harness.trace.clear()
         harness.handle(*events)
@@ -135,7 +135,7 @@
     harness.handle(list_changes(task_line("e", started=7.9)))
     advance_while_cold(harness, "e", 14.5)
     harness.advance(4)
-    assert "e" in table_weights(harness.brain) and harness.brain.queue <= 4_400
+    assert "e" in table_weights(harness.brain) and harness.brain.channel.queue <= 4_400
 
 
 def test_no_table_is_empty_while_a_task_of_another_one_is_warm():
@@ -201,8 +201,8 @@
     harness = BrainHarness("abcdefgh", 80, queue_limit=8_000.0)
     harness.advance(8)
     harness.acknowledges = False
-    harness.brain.queue = harness.brain.unacknowledged = 1_600.0
-    harness.brain.queue_progress_at = harness.now
+    harness.brain.channel.queue = harness.brain.channel.unacknowledged = 1_600.0
+    harness.brain.channel.progress_at = harness.now
     harness.trace.clear()
     harness.handle(list_changes(task_line("a", started=7.9)), gp.ProxyJoined(80, 20.0, False, "z"))
     harness.advance(0.5)
@@ -388,7 +388,7 @@
     for task in "abc":
         harness.handle(list_changes(task_line(task, "draining")))
         harness.advance(0.7)
-    harness.add_label(f"estimated queue: {harness.brain.queue:.0f} of 40 lines")
+    harness.add_label(f"estimated queue: {harness.brain.channel.queue:.0f} of 40 lines")
     harness.advance(4)
     harness.assert_trace_matches("full_channel")
 
@@ -472,17 +472,17 @@
         string.ascii_letters + "0123", 10, queue_limit=1_100.0, channel_lines=400.0, acknowledges=False
     )
     harness.handle(*(gp.ProxyJoined(p, 5.0, False, "z") for p in range(10, 60)))
-    harness.add_label(f"60 proxies, estimated queue: {harness.brain.queue:.0f} of 1100 lines")
+    harness.add_label(f"60 proxies, estimated queue: {harness.brain.channel.queue:.0f} of 1100 lines")
     for names in ("abcdef", "ghij", "klmn"):
         harness.handle(list_changes(*(task_line(name, "draining") for name in names)))
         harness.advance(0.1)
-        assert harness.brain.queue <= 1_100
+        assert harness.brain.channel.queue <= 1_100
     harness.advance(0.4)
-    assert harness.brain.queue <= 1_100
-    harness.add_label(f"14 tasks leave, estimated queue: {harness.brain.queue:.0f} lines")
-    mark = harness.brain.mark
+    assert harness.brain.channel.queue <= 1_100
+    harness.add_label(f"14 tasks leave, estimated queue: {harness.brain.channel.queue:.0f} lines")
+    mark = harness.brain.channel.mark
     harness.handle(*(gp.OrdersApplied(p, mark, 0) for p in range(50, 52)))
-    harness.add_label(f"two proxies acknowledge the withdrawals: {harness.brain.queue:.0f} lines")
+    harness.add_label(f"two proxies acknowledge the withdrawals: {harness.brain.channel.queue:.0f} lines")
     harness.assert_trace_matches("withdrawals_within_queue_limit")
 
 
@@ -512,29 +512,30 @@
     harness = BrainHarness("abcd", 0, queue_limit=9_000.0, channel_lines=1_000.0, acknowledges=False)
     for p in range(100):
         harness.handle(gp.ProxyJoined(p, 5.0, True, "z"))
-    assert harness.brain.mark == 100 and harness.brain.queue == 100 * 15
+    assert harness.brain.channel.mark == 100 and harness.brain.channel.queue == 100 * 15
     harness.handle(*(gp.OrdersApplied(p, p + 1, 0) for p in range(10)))
-    assert harness.brain.queue == 90 * 15 and len(harness.brain.sent_batches) == 90
+    assert harness.brain.channel.queue == 90 * 15 and len(harness.brain.channel.sent_batches) == 90
 
 
 def test_lines_of_a_broken_stream_leave_the_queue_and_order_proves_nothing_for_a_while():
     harness = BrainHarness("abcd", 60, queue_limit=3_500.0, channel_lines=700.0, acknowledges=False)
-    harness.add_label(f"60 proxies are bound: {harness.brain.queue:.0f} lines wait")
+    harness.add_label(f"60 proxies are bound: {harness.brain.channel.queue:.0f} lines wait")
     harness.handle(gp.ProxyJoined(60, 5.0, True, "z"))
-    harness.handle(gp.OrdersApplied(60, harness.brain.mark, 0))
+    harness.handle(gp.OrdersApplied(60, harness.brain.channel.mark, 0))
     harness.add_label(
-        f"one more joins and acknowledges first, as some streams have broken: {harness.brain.queue:.0f}"
+        "one more joins and acknowledges first, as some streams have broken: "
+        f"{harness.brain.channel.queue:.0f}"
     )
     harness.handle(*(gp.ProxyLeft(p) for p in range(30, 50)))
     harness.handle(*(gp.ProxyJoined(p, 5.0, True, "z") for p in range(30, 34)))
-    harness.add_label(f"20 leave, 4 rejoin: {harness.brain.queue:.0f}")
-    mark = harness.brain.mark
+    harness.add_label(f"20 leave, 4 rejoin: {harness.brain.channel.queue:.0f}")
+    mark = harness.brain.channel.mark
     harness.handle(gp.OrdersApplied(30, mark, 0))
-    harness.add_label(f"one of these acknowledges before the others: {harness.brain.queue:.0f}")
+    harness.add_label(f"one of these acknowledges before the others: {harness.brain.channel.queue:.0f}")
     harness.now += 110_000
-    harness.brain.queue_updated_at = harness.now
+    harness.brain.channel.updated_at = harness.now
     harness.handle(gp.OrdersApplied(31, mark, 0))
-    harness.add_label(f"long after, another acknowledges: {harness.brain.queue:.0f}")
+    harness.add_label(f"long after, another acknowledges: {harness.brain.channel.queue:.0f}")
     harness.assert_trace_matches("broken_stream")
 
 
@@ -603,7 +604,7 @@
     harness.handle(list_changes(task_line("a", "draining")))
     harness.advance(0.7)
     harness.add_label(
-        f"{harness.brain.queue:.0f} of 1000 lines wait: no room for one more drain at the bound"
+        f"{harness.brain.channel.queue:.0f} of 1000 lines wait: no room for one more drain at the bound"
     )
     harness.handle(list_changes(task_line("b", "draining")))
     harness.advance(6)
@@ -722,9 +723,9 @@
     harness.pending_events, harness.acknowledges = [], False
     for failing in "ab":
         harness.handle(*(gp.ProbeFinished(failing, 6_000, "timeout", {}) for _ in range(5)))
-        harness.add_label(f"{failing} fails its probes; {harness.brain.queue:.0f} lines wait")
+        harness.add_label(f"{failing} fails its probes; {harness.brain.channel.queue:.0f} lines wait")
         harness.advance(0.5)
-    harness.handle(*(gp.OrdersApplied(p, harness.brain.mark, 0) for p in range(31)))
+    harness.handle(*(gp.OrdersApplied(p, harness.brain.channel.mark, 0) for p in range(31)))
     harness.advance(0.2)
     harness.assert_trace_matches("health_changes_together")
 
@@ -858,7 +859,9 @@
     harness.advance(1)
     harness.handle(list_changes(task_line("x", started=1)))
     advance_while_cold(harness, "x", 6)
-    harness.brain.queue = harness.brain.unacknowledged = 1_860  # room for seven lines at each proxy
+    harness.brain.channel.queue = harness.brain.channel.unacknowledged = (
+        1_860  # room for seven lines at each proxy
+    )
     for name in names[:9]:
         task = harness.brain.tasks[name]
         task.ejected, task.ejected_until = True, harness.now + 100_000
@@ -1040,7 +1043,7 @@
     harness = BrainHarness(level_kind="fraction")
     harness.advance(2)
     harness.handle(gp.ChannelStateUnknown(), gp.ProxyJoined(1, 20.0, True, "z"), gp.ProxyLeft(0))
-    harness.add_label(f"estimated queue: {harness.brain.queue:.0f} lines")
+    harness.add_label(f"estimated queue: {harness.brain.channel.queue:.0f} lines")
     harness.assert_trace_matches("orders_in_doubt")
 
 
@@ -1050,12 +1053,12 @@
     harness = BrainHarness(proxies=20)
     harness.advance(3)
     harness.handle(gp.ChannelStateUnknown())
-    harness.add_label(f"estimated queue: {harness.brain.queue:.0f} lines")
+    harness.add_label(f"estimated queue: {harness.brain.channel.queue:.0f} lines")
     for named in (range(12), range(12, 20)):
         harness.handle(*(gp.ProxyJoined(p, 20.0, False, "z") for p in named))
-        harness.add_label(f"estimated queue: {harness.brain.queue:.0f} lines")
+        harness.add_label(f"estimated queue: {harness.brain.channel.queue:.0f} lines")
     harness.handle(list_changes(task_line("a", "draining")))
-    harness.add_label(f"estimated queue: {harness.brain.queue:.0f} lines")
+    harness.add_label(f"estimated queue: {harness.brain.channel.queue:.0f} lines")
     harness.assert_trace_matches("binds_after_stream_gap")
 
 
@@ -1140,14 +1143,16 @@
     for name in "hgf":
         harness.handle(list_changes(task_line(name, "draining")))
         harness.advance(0.9)
-    harness.add_label(f"estimated queue: {harness.brain.queue:.0f} lines")
+    harness.add_label(f"estimated queue: {harness.brain.channel.queue:.0f} lines")
     harness.advance(5)
-    harness.add_label(f"and 5 s later, with nothing heard: {harness.brain.queue:.0f}")
+    harness.add_label(f"and 5 s later, with nothing heard: {harness.brain.channel.queue:.0f}")
     harness.acknowledges = True
     harness.handle(gp.ChannelStateUnknown(), *(gp.ProxyJoined(p, 5.0, False, "z") for p in range(20)))
     count = sum(p.bound for p in harness.brain.proxies.values())
     number = harness.brain.tables[0].number
-    harness.add_label(f"estimated queue: {harness.brain.queue:.0f} lines for {count} bound to table {number}")
+    harness.add_label(
+        f"estimated queue: {harness.brain.channel.queue:.0f} lines for {count} bound to table {number}"
+    )
     harness.advance(4)
     harness.assert_trace_matches("estimated_queue")
 
@@ -1212,7 +1217,7 @@
         harness.reported_sums["a"], queue = (10, 0, 400), []
         for _ in range(120):
             harness.advance(0.1)
-            queue.append(harness.brain.queue)
+            queue.append(harness.brain.channel.queue)
         harness.handle(list_changes(task_line("b", "draining")))
         harness.handle(gp.ProxyJoined(5, 20.0, True, "z"))
         harness.advance(3)
@@ -1224,7 +1229,7 @@
                     for entry in harness.trace
                     if not entry.endswith("  bind 70000")
                 ],
-                harness.brain.written_lines,
+                harness.brain.channel.written_lines,
             )
         )
     assert results[0] == results[1] and len(results[0][1]) > 4
@@ -1234,9 +1239,9 @@
 def test_an_external_followers_acknowledgement_does_not_change_the_queue():
     harness = harness_with_follower(acknowledges=False)
     harness.advance(1)
-    queue_before = harness.brain.queue
-    harness.handle(gp.OrdersApplied(70_000, harness.brain.mark, 5))
-    assert harness.brain.queue == queue_before > 0
+    queue_before = harness.brain.channel.queue
+    harness.handle(gp.OrdersApplied(70_000, harness.brain.channel.mark, 5))
+    assert harness.brain.channel.queue == queue_before > 0
 
 
 def test_external_followers_cause_no_withdrawals_and_wait_like_proxies_after_a_restart():
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -85,7 +85,7 @@
     harness = BrainHarness("abcd", 80, queue_limit=8_000.0)
     harness.advance(8)
     log = DecisionLog(harness.brain, PARAMETERS.warm_after)
-    harness.brain.queue = harness.brain.unacknowledged = 1_600.0
+    harness.brain.channel.queue = harness.brain.channel.unacknowledged = 1_600.0
     counts = []
     for _ in range(2):
         harness.handle(list_changes(task_line("a", "draining"), task_line("b", started=7.9)))
@@ -93,7 +93,7 @@
         with structlog.testing.capture_logs() as entries:
             log.observe(harness.now, [], [])
         counts.append(entries[-1]["waiting_removals"])
-        harness.brain.queue = harness.brain.unacknowledged = 0.0
+        harness.brain.channel.queue = harness.brain.channel.unacknowledged = 0.0
     assert counts == [2, 0]
 
 
@@ -202,5 +202,5 @@
     orders = harness.brain.handle(harness.now, [started])
     log.observe(harness.now, [started], orders)
     entries = logged(log, (harness.now, [gp.ProbeFinished("a", 0, "unreachable", {})] * 2, []))
-    queued = round(harness.brain.queue)
+    queued = round(harness.brain.channel.queue)
     assert queued and f" 0.0 {queued} 3 False 3 0 0 " in entries[-1]
--- a/tests/test_fault_scenarios.py
+++ b/tests/test_fault_scenarios.py
@@ -516,7 +516,7 @@
     """The number of entries in the Brain's collections and tables."""
     parts = [
         brain.timers,
-        brain.sent_batches,
+        brain.channel.sent_batches,
         brain.pending_reports,
         brain.counted_until,
         brain.changed_at,
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -187,7 +187,7 @@
     """20 proxies; the removal of a is ordered and lost twice: what it may have left fills the queue."""
     harness = BrainHarness(tasks="abcdefgh", proxies=20, queue_limit=400.0, channel_lines=400.0)
     harness.advance(8)
-    assert harness.brain.queue == 0 and all(proxy.bound for proxy in harness.brain.proxies.values())
+    assert harness.brain.channel.queue == 0 and all(proxy.bound for proxy in harness.brain.proxies.values())
     harness.acknowledges = False
     assert drain(harness, "a") == {"a"}
     first_mark = ordered_mark(harness)
@@ -219,10 +219,10 @@
     mark = ordered_mark(harness)
     lines = 20 * 8
     harness.handle(gp.OrdersApplied(proxy, first_mark, 3_000))
-    assert harness.brain.queue >= 2 * lines and removed_tasks(harness) == set()
+    assert harness.brain.channel.queue >= 2 * lines and removed_tasks(harness) == set()
     harness.handle(gp.OrdersApplied(proxy, mark, 3_000))
     # The bind left the channel after the first batch, and the second one was never in it.
-    assert harness.brain.queue == lines and removed_tasks(harness) == {"a"}
+    assert harness.brain.channel.queue == lines and removed_tasks(harness) == {"a"}
 
 
 def test_a_proxy_behind_an_order_that_was_not_taken_proves_nothing_of_its_batch():
@@ -233,7 +233,7 @@
     harness.handle(list_changes(task_line("a", "draining")), *joined)
     assert bound_proxies(harness) == [30, 31] and removed_tasks(harness) == {"a"}
     lost = tuple(harness.last_orders)
-    queue = harness.brain.queue
+    queue = harness.brain.channel.queue
     harness.handle(gp.OrdersLost(lost, True))
     harness.handle(gp.OrdersApplied(31, ordered_mark(harness), 3_000))
-    assert harness.brain.queue >= queue
+    assert harness.brain.channel.queue >= queue
--- a/tests/test_order_sender.py
+++ b/tests/test_order_sender.py
@@ -38,8 +38,6 @@
 
     async def __aexit__(self, *_):
         self.running.cancel()
-        if self.sender.connection:
-            self.sender.connection.close()
         await self.relay.__aexit__()
 
     @property
--- a/tests/test_task_liveness.py
+++ b/tests/test_task_liveness.py
@@ -74,7 +74,7 @@
     harness = BrainHarness("abcdefgh", 80, queue_limit=8_000.0)
     harness.advance(8)
     harness.acknowledges, harness.pending_events = False, []
-    harness.brain.queue = harness.brain.unacknowledged = 2_400.0
+    harness.brain.channel.queue = harness.brain.channel.unacknowledged = 2_400.0
     harness.trace.clear()
     refuse(harness, "a")
     harness.advance(0.2)
--- a/tests/test_task_registry.py
+++ b/tests/test_task_registry.py
@@ -143,7 +143,7 @@
     "a report": lambda assigner: (
         gp.TaskReport(assigner.brain.own_tasks[0].id, "z", 10, 0, 200.0, 10_000, {}),
     ),
-    "an acknowledgement": lambda assigner: (gp.OrdersApplied(0, assigner.brain.mark, 500),),
+    "an acknowledgement": lambda assigner: (gp.OrdersApplied(0, assigner.brain.channel.mark, 500),),
     "a join": lambda assigner: (gp.ProxyJoined(0, 5.0, True, "z"),),
     "a probe": lambda assigner: (gp.ProbeFinished(assigner.brain.own_tasks[0].id, 500, "ok", {}),),
 }
