--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -203,7 +203,8 @@
 def test_on_demand_polls_begin_with_the_order_and_go_on_through_failures():
     """Each failure ended the subscription, and the next order came up to 5 s later."""
     script = [*["break"] * 8, task_list_response(4, False), "break", task_list_response(5, True, a="active")]
-    assert_trace_matches("discovery_on_demand", follow_task_list(script, must_ask=True))
+    trace = follow_task_list(script, must_ask=True, requests_after_script=1)
+    assert_trace_matches("discovery_on_demand", trace)
 
 
 def test_on_demand_nothing_is_polled_before_the_order():
